cmd, internal: serve a pipeline and a once-only call through three roles

The first whole path as separate processes of one binary: a caller's HTTP request goes through entry, agent and stand-in upstream and back; a booking is claimed in a ledger that three control processes agree on before anything leaves the entry.

--- /dev/null
+++ b/internal/beside/upstream/client.go
@@ -0,0 +1,157 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// idleConnections is the number of connections kept to the upstream.
+const idleConnections = 256
+
+// Client speaks to one upstream. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a Client for the announced address.
+func NewClient(address string) *Client {
+	return &Client{
+		base: "http://" + address,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+			MaxIdleConns:        idleConnections,
+			MaxIdleConnsPerHost: idleConnections,
+			DisableCompression:  true,
+		}},
+	}
+}
+
+// RunError reports a stage that did not end. Started is false only where it is
+// certain that the upstream did not begin it.
+type RunError struct {
+	Started bool
+	Cause   error
+}
+
+// Error names the remedy.
+func (e *RunError) Error() string {
+	if e.Started {
+		return fmt.Sprintf("upstream lost after the stage was sent: %v; its outcome is unknown", e.Cause)
+	}
+	return fmt.Sprintf("upstream did not take the stage: %v; use another", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *RunError) Unwrap() error { return e.Cause }
+
+func (c *Client) post(ctx context.Context, path string, body any) (*http.Response, error) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return nil, fmt.Errorf("encode request: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(b))
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	return c.http.Do(req)
+}
+
+// Run runs a stage and hands each chunk to take, in order and without gaps.
+// The error is a *RunError.
+func (c *Client) Run(ctx context.Context, r Request, take func(Line) error) (Line, error) {
+	resp, err := c.post(ctx, "/v1/run", r)
+	if err != nil {
+		return Line{}, &RunError{Started: !neverSent(err), Cause: err}
+	}
+	defer drain(resp)
+	if resp.StatusCode != http.StatusOK {
+		return Line{}, &RunError{Started: resp.StatusCode != http.StatusServiceUnavailable, Cause: fmt.Errorf("status %s", resp.Status)}
+	}
+	d := json.NewDecoder(resp.Body)
+	for next := r.First; ; {
+		var line Line
+		if err := d.Decode(&line); err != nil {
+			return Line{}, &RunError{Started: true, Cause: err}
+		}
+		if line.ID != r.ID {
+			return Line{}, &RunError{Started: true, Cause: fmt.Errorf("line of request %q", line.ID)}
+		}
+		if line.Error != "" {
+			return Line{}, &RunError{Started: line.Started, Cause: errors.New(line.Error)}
+		}
+		if line.End {
+			if line.Chunks != next {
+				return Line{}, &RunError{Started: true, Cause: fmt.Errorf("%d of %d chunks", next, line.Chunks)}
+			}
+			return line, nil
+		}
+		if line.Seq < next {
+			continue
+		}
+		if line.Seq != next {
+			return Line{}, &RunError{Started: true, Cause: fmt.Errorf("chunk %d in place of %d", line.Seq, next)}
+		}
+		next++
+		if err := take(line); err != nil {
+			return Line{}, &RunError{Started: true, Cause: err}
+		}
+	}
+}
+
+// neverSent reports whether the connection was never made.
+func neverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func drain(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, 4<<10)
+	resp.Body.Close()
+}
+
+// Cancel withdraws a stage.
+func (c *Client) Cancel(ctx context.Context, id string) error {
+	resp, err := c.post(ctx, "/v1/cancel", Cancel{ID: id})
+	if err != nil {
+		return fmt.Errorf("cancel stage: %w", err)
+	}
+	drain(resp)
+	return nil
+}
+
+// Order hands the upstream an order. A refusal is an *OrderError.
+func (c *Client) Order(ctx context.Context, o Order) error {
+	resp, err := c.post(ctx, "/v1/order", o)
+	if err != nil {
+		return fmt.Errorf("send order: %w", err)
+	}
+	defer drain(resp)
+	if resp.StatusCode != http.StatusOK {
+		return &OrderError{Number: o.Number, Status: resp.Status}
+	}
+	return nil
+}
+
+// OrderError reports an order that the upstream refused.
+type OrderError struct {
+	Number uint64
+	Status string
+}
+
+// Error names the remedy.
+func (e *OrderError) Error() string {
+	return fmt.Sprintf("upstream refused order %d (%s); ask the leader for a new order", e.Number, e.Status)
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
--- /dev/null
+++ b/internal/fleet/replica/peers.go
@@ -0,0 +1,158 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hawthornhub.example/hawthornhub/internal/fleet/link"
+	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
+	"hawthornhub.example/hawthornhub/internal/wire/statepb"
+)
+
+// sendQueue is the number of messages that wait for one peer; more are
+// dropped, as the log sends again what is missing.
+const sendQueue = 1024
+
+// senders holds one queue and goroutine for each peer.
+type senders struct {
+	pool   *link.Pool
+	queues map[string]chan *statepb.Message
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+func newSenders(cfg Config) *senders {
+	s := &senders{pool: cfg.Pool, queues: make(map[string]chan *statepb.Message)}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	for _, p := range cfg.Peers {
+		if p.Name == cfg.Name {
+			continue
+		}
+		q := make(chan *statepb.Message, sendQueue)
+		s.queues[p.Name] = q
+		s.wg.Add(1)
+		go s.run(p.Link, q)
+	}
+	return s
+}
+
+func (s *senders) to(name string, m *statepb.Message) {
+	q := s.queues[name]
+	if q == nil {
+		return
+	}
+	select {
+	case q <- m:
+	default:
+	}
+}
+
+// run sends the messages of one queue over one stream, opened anew after an
+// error.
+func (s *senders) run(address string, q <-chan *statepb.Message) {
+	defer s.wg.Done()
+	var st *link.Stream
+	defer func() {
+		if st != nil {
+			st.Close()
+		}
+	}()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case m := <-q:
+			if st == nil {
+				opened, err := s.pool.Open(s.ctx, address)
+				if err != nil {
+					s.backOff(q)
+					continue
+				}
+				st = opened
+			}
+			if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_Replica{Replica: m}}); err != nil {
+				st.Close()
+				st = nil
+			}
+		}
+	}
+}
+
+// backOff waits after a failed dial and drops what has gathered, which would
+// be stale by then.
+func (s *senders) backOff(q <-chan *statepb.Message) {
+	select {
+	case <-s.ctx.Done():
+		return
+	case <-time.After(dialPause):
+	}
+	for len(q) > 0 {
+		<-q
+	}
+}
+
+// dialPause is the wait after a peer could not be dialled.
+const dialPause = 50 * time.Millisecond
+
+func (s *senders) close() {
+	s.cancel()
+	s.wg.Wait()
+}
+
+// introduce tells the peers of this instance while it has no log, and forms
+// the fleet where all of them have none.
+func (r *Replica) introduce() {
+	defer r.wg.Done()
+	for {
+		if v := r.View(); v.LastIndex == 0 || !isMember(v) {
+			r.askPeers(v)
+		}
+		select {
+		case <-r.done:
+			return
+		case <-time.After(hello):
+		}
+	}
+}
+
+func isMember(v View) bool {
+	_, ok := v.Voters.GetNames()[v.ID]
+	return ok
+}
+
+func (r *Replica) askPeers(v View) {
+	names := map[uint64]string{v.ID: r.cfg.Name}
+	lowest := r.cfg.Name
+	empty := v.LastIndex == 0
+	for _, p := range r.cfg.Peers {
+		lowest = min(lowest, p.Name)
+		if p.Name == r.cfg.Name {
+			continue
+		}
+		reply := r.askPeer(p.Link, v)
+		if reply == nil || !reply.Empty || reply.Name != p.Name {
+			empty = false
+			continue
+		}
+		names[reply.Identity] = p.Name
+	}
+	if empty && lowest == r.cfg.Name && len(names) == len(r.cfg.Peers) {
+		r.tell(&formMsg{names: names})
+	}
+}
+
+func (r *Replica) askPeer(address string, v View) *fleetpb.HelloReply {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	e, err := r.cfg.Pool.Ask(ctx, address, &fleetpb.Envelope{Body: &fleetpb.Envelope_Hello{Hello: &fleetpb.Hello{
+		Name:     r.cfg.Name,
+		Identity: v.ID,
+		Empty:    true,
+	}}})
+	if err != nil {
+		return nil
+	}
+	return e.GetHelloReply()
+}
--- /dev/null
+++ b/internal/front/caller/server.go
@@ -0,0 +1,266 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"hawthornhub.example/hawthornhub/internal/fleet/control"
+	"hawthornhub.example/hawthornhub/internal/fleet/timeline"
+	"hawthornhub.example/hawthornhub/internal/serve/limit"
+	"hawthornhub.example/hawthornhub/internal/serve/pipeline"
+	"hawthornhub.example/hawthornhub/internal/serve/refuse"
+	"hawthornhub.example/hawthornhub/internal/state/document"
+	"hawthornhub.example/hawthornhub/internal/state/ledger"
+)
+
+// Headers of a request.
+const (
+	HeaderAccount  = "X-Account"
+	HeaderKey      = "X-Account-Key"
+	HeaderDeadline = "X-Deadline-Ms"
+	HeaderOnce     = "Idempotency-Key"
+	HeaderRequest  = "X-Request-Id"
+)
+
+// Config builds a Server.
+type Config struct {
+	// Entry is the name of the entry, which begins each request id.
+	Entry    string
+	Executor *pipeline.Executor
+	Limiter  *limit.Limiter
+	Follower *control.Follower
+	Timeline *timeline.Recorder
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64
+	Log          *zap.Logger
+}
+
+// Server serves the callers. It is safe for concurrent use.
+type Server struct {
+	cfg     Config
+	mux     *http.ServeMux
+	history *history
+}
+
+// NewServer returns a Server.
+func NewServer(cfg Config) *Server {
+	s := &Server{cfg: cfg, mux: http.NewServeMux(), history: newHistory()}
+	s.mux.HandleFunc("POST /v1/pipelines/{name}", s.run)
+	s.mux.HandleFunc("GET /v1/requests/{id}", s.look)
+	return s
+}
+
+// ServeHTTP serves one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// run serves POST /v1/pipelines/{name}.
+func (s *Server) run(w http.ResponseWriter, r *http.Request) {
+	id := s.cfg.Entry + "-" + uuid.Must(uuid.NewV7()).String()
+	w.Header().Set(HeaderRequest, id)
+	req, body, err := s.parse(w, r, id)
+	if err != nil {
+		s.refuse(w, id, err)
+		return
+	}
+	s.history.begin(id, req.Account)
+	if body.Stream {
+		s.stream(w, r, req)
+		return
+	}
+	answer, err := s.cfg.Executor.Run(r.Context(), req)
+	s.history.end(id, answer, err)
+	if err != nil {
+		s.refuse(w, id, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, Answer{Request: id, Output: string(answer.Output), Chunks: answer.Chunks, Stages: answer.Stages})
+}
+
+func (s *Server) refuse(w http.ResponseWriter, id string, err error) {
+	refusal := refusalOf(id, err)
+	if refusal.RetryAfterMs > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt((refusal.RetryAfterMs+999)/1000, 10))
+	}
+	s.cfg.Timeline.Add("refuse", id, refusal.Kind+" ran "+refusal.Ran+": "+refusal.Detail)
+	writeJSON(w, statusOf(refuse.Kind(refusal.Kind)), refusal)
+}
+
+func refusalOf(id string, err error) Refusal {
+	var e *refuse.Error
+	if !errors.As(err, &e) {
+		e = refuse.New(refuse.UpstreamFailed, refuse.RanUnknown, err.Error(), "report this answer to the operators")
+	}
+	return Refusal{
+		Request:      id,
+		Kind:         string(e.Kind),
+		Ran:          string(e.Ran),
+		Detail:       e.Detail,
+		Remedy:       e.Remedy,
+		RetryAfterMs: e.RetryAfter.Milliseconds(),
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// parse checks everything about a request that can be checked before any
+// stage runs.
+func (s *Server) parse(w http.ResponseWriter, r *http.Request, id string) (pipeline.Request, Body, error) {
+	schema := s.cfg.Follower.Held().Schema
+	account, err := authenticate(schema, r)
+	if err != nil {
+		return pipeline.Request{}, Body{}, err
+	}
+	body, err := s.body(w, r)
+	if err != nil {
+		return pipeline.Request{}, Body{}, err
+	}
+	req := pipeline.Request{
+		ID:       id,
+		Account:  account,
+		Pipeline: r.PathValue("name"),
+		Input:    []byte(body.Input),
+		Tokens:   body.Tokens,
+		Prefix:   body.Prefix,
+		Key:      r.Header.Get(HeaderOnce),
+	}
+	p, ok := schema.Pipelines[req.Pipeline]
+	if !ok {
+		return req, body, refuse.New(refuse.UnknownName, refuse.RanNo, fmt.Sprintf("no pipeline %q", req.Pipeline), "use a pipeline of the document")
+	}
+	if err := checkKey(p, req.Key); err != nil {
+		return req, body, err
+	}
+	if req.Deadline, err = deadline(p, r); err != nil {
+		return req, body, err
+	}
+	return req, body, s.cfg.Limiter.Take(r.Context(), account, schema.Accounts[account].Rate)
+}
+
+// authenticate compares the account's key with its hash in constant time.
+func authenticate(schema document.Schema, r *http.Request) (string, error) {
+	name := r.Header.Get(HeaderAccount)
+	account, known := schema.Accounts[name]
+	want, _ := hex.DecodeString(account.KeySHA256)
+	got := sha256.Sum256([]byte(r.Header.Get(HeaderKey)))
+	if !known || subtle.ConstantTimeCompare(got[:], want) != 1 {
+		return "", refuse.New(refuse.Unauthorised, refuse.RanNo, "the account or its key is wrong", "send the headers "+HeaderAccount+" and "+HeaderKey)
+	}
+	return name, nil
+}
+
+func (s *Server) body(w http.ResponseWriter, r *http.Request) (Body, error) {
+	var body Body
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
+	d.DisallowUnknownFields()
+	err := d.Decode(&body)
+	if err == nil && d.More() {
+		err = errors.New("more than one JSON value")
+	}
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return body, refuse.New(refuse.TooLarge, refuse.RanNo, "the body is too large", fmt.Sprintf("send at most %d bytes", s.cfg.MaxBodyBytes))
+	case errors.Is(err, io.EOF):
+		return body, refuse.New(refuse.BadRequest, refuse.RanNo, "the body is empty", "send a JSON object with input")
+	case err != nil:
+		return body, refuse.New(refuse.BadRequest, refuse.RanNo, "the body is not a valid request: "+err.Error(), "send a JSON object with input, tokens, prefix and stream")
+	}
+	return body, nil
+}
+
+// checkKey refuses a once-only pipeline without a usable key.
+func checkKey(p document.Pipeline, key string) error {
+	if !p.Stages[len(p.Stages)-1].Once {
+		return nil
+	}
+	if key == "" {
+		return refuse.New(refuse.MissingKey, refuse.RanNo, "the pipeline may not be repeated and the request has no key", "send the header "+HeaderOnce)
+	}
+	if _, err := ledger.KeyTime(key); err != nil {
+		return refuse.New(refuse.BadRequest, refuse.RanNo, err.Error(), "send a key that carries its time")
+	}
+	return nil
+}
+
+// deadline returns when the request must have ended.
+func deadline(p document.Pipeline, r *http.Request) (time.Time, error) {
+	ms := p.DeadlineMs
+	if text := r.Header.Get(HeaderDeadline); text != "" {
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return time.Time{}, refuse.New(refuse.BadRequest, refuse.RanNo, "the deadline is not a number", "send "+HeaderDeadline+" in milliseconds")
+		}
+		ms = min(ms, n)
+	}
+	if ms <= 0 {
+		return time.Time{}, refuse.New(refuse.Deadline, refuse.RanNo, "the deadline has passed", "allow more time")
+	}
+	return time.Now().Add(time.Duration(ms) * time.Millisecond), nil
+}
+
+// stream answers with server-sent events. Once the first chunk has gone out, a
+// failure is an error event.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, req pipeline.Request) {
+	events := &eventWriter{w: w, control: http.NewResponseController(w)}
+	req.Emit = events.chunk
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	answer, err := s.cfg.Executor.Run(ctx, req)
+	s.history.end(req.ID, answer, err)
+	switch {
+	case err != nil && !events.begun:
+		s.refuse(w, req.ID, err)
+	case err != nil:
+		s.cfg.Timeline.Add("refuse", req.ID, err.Error())
+		_ = events.send("", "error", refusalOf(req.ID, err))
+	default:
+		_ = events.send("", "end", Answer{Request: req.ID, Chunks: answer.Chunks, Stages: answer.Stages})
+	}
+}
+
+// eventWriter writes server-sent events.
+type eventWriter struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	begun   bool
+}
+
+func (e *eventWriter) chunk(seq uint32, data []byte) error {
+	return e.send(strconv.FormatUint(uint64(seq), 10), "chunk", Chunk{Data: string(data)})
+}
+
+func (e *eventWriter) send(id, name string, data any) error {
+	if !e.begun {
+		e.begun = true
+		e.w.Header().Set("Content-Type", "text/event-stream")
+		e.w.Header().Set("Cache-Control", "no-store")
+		e.w.WriteHeader(http.StatusOK)
+	}
+	b, err := json.Marshal(data)
+	if err != nil {
+		return fmt.Errorf("encode event: %w", err)
+	}
+	if id != "" {
+		id = "id: " + id + "\n"
+	}
+	if _, err := fmt.Fprintf(e.w, "%sevent: %s\ndata: %s\n\n", id, name, b); err != nil {
+		return fmt.Errorf("send event: %w", err)
+	}
+	return e.control.Flush()
+}
--- /dev/null
+++ b/internal/operator/settings/settings.go
@@ -0,0 +1,281 @@
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Role is the part a process plays.
+type Role string
+
+// The roles.
+const (
+	RoleEntry   Role = "entry"
+	RoleAgent   Role = "agent"
+	RoleControl Role = "control"
+)
+
+// Settings is what one process is told at its start.
+type Settings struct {
+	// Name is the instance name, unique in the fleet.
+	Name string `toml:"name"`
+	// Zone is the availability zone.
+	Zone string `toml:"zone"`
+	// LogLevel is debug, info, warn or error; the default is info.
+	LogLevel string `toml:"log_level"`
+	// FleetKeyFile names the file with the fleet's shared key, at least 16
+	// bytes.
+	FleetKeyFile string  `toml:"fleet_key_file"`
+	Listen       Listen  `toml:"listen"`
+	Control      []Peer  `toml:"control"`
+	TLS          TLS     `toml:"tls"`
+	Replica      Replica `toml:"replica"`
+	Agent        Agent   `toml:"agent"`
+	Entry        Entry   `toml:"entry"`
+}
+
+// Listen is where the process listens, each as IP:port.
+type Listen struct {
+	// HTTP serves callers, operators, health and metrics.
+	HTTP string `toml:"http"`
+	// Link serves the other processes over TCP.
+	Link string `toml:"link"`
+	// Gossip serves membership over UDP.
+	Gossip string `toml:"gossip"`
+}
+
+// Peer is one control instance.
+type Peer struct {
+	Name string `toml:"name"`
+	// Link is the TCP address as IP:port.
+	Link string `toml:"link"`
+	// Gossip is the UDP address as IP:port.
+	Gossip string `toml:"gossip"`
+}
+
+// TLS names the files for mutual TLS between the processes; all three or none.
+type TLS struct {
+	CertFile string `toml:"cert_file"`
+	KeyFile  string `toml:"key_file"`
+	CAFile   string `toml:"ca_file"`
+}
+
+// Replica is for control only.
+type Replica struct {
+	// DataDir is the data folder.
+	DataDir string `toml:"data_dir"`
+	// DocumentFile names the first document, used when the fleet is formed.
+	DocumentFile string `toml:"document_file"`
+	// TickMs is the length of a tick in milliseconds; the default is 50.
+	TickMs int `toml:"tick_ms"`
+	// SnapshotEntries is the number of entries between snapshots; the default
+	// is 20000.
+	SnapshotEntries int `toml:"snapshot_entries"`
+}
+
+// Agent is for agents only.
+type Agent struct {
+	// Announce is the loopback address at which the upstream announces itself.
+	Announce string `toml:"announce"`
+	// StallMs is the longest time without progress from the upstream before a
+	// call is given up, in milliseconds; the default is 3000.
+	StallMs int `toml:"stall_ms"`
+}
+
+// Entry is for entries only.
+type Entry struct {
+	// MaxBodyBytes bounds a caller's request; the default is 1 MiB.
+	MaxBodyBytes int64 `toml:"max_body_bytes"`
+	// DrainMs is how long the entry goes on serving after it has failed its
+	// readiness check, for the balancer to notice; the default is 1000.
+	DrainMs int `toml:"drain_ms"`
+	// StopMs bounds a graceful stop; the default is 20000.
+	StopMs int `toml:"stop_ms"`
+}
+
+// FaultError reports all faults of a settings file.
+type FaultError struct {
+	File   string
+	Faults []string
+}
+
+// Error lists the faults, one a line.
+func (e *FaultError) Error() string {
+	return fmt.Sprintf("settings %s: %s", e.File, strings.Join(e.Faults, "\n"))
+}
+
+// Load reads and validates the settings of a role. The error is a *FaultError
+// where the file could be read.
+func Load(file string, role Role) (Settings, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w; give the file with --settings", err)
+	}
+	s, faults := Decode(b, role)
+	if len(faults) > 0 {
+		return Settings{}, &FaultError{File: file, Faults: faults}
+	}
+	return s, nil
+}
+
+// Decode decodes and validates settings and returns every fault.
+func Decode(b []byte, role Role) (Settings, []string) {
+	s := Settings{
+		LogLevel: "info",
+		Replica:  Replica{TickMs: 50, SnapshotEntries: 20_000},
+		Agent:    Agent{StallMs: 3000},
+		Entry:    Entry{MaxBodyBytes: 1 << 20, DrainMs: 1000, StopMs: 20_000},
+	}
+	if err := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields().Decode(&s); err != nil {
+		return Settings{}, decodeFaults(err)
+	}
+	return s, s.faults(role)
+}
+
+func decodeFaults(err error) []string {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		var out []string
+		for _, e := range strict.Errors {
+			row, _ := e.Position()
+			out = append(out, fmt.Sprintf("line %d: unknown field %s; remove it or correct its name", row, strings.Join(e.Key(), ".")))
+		}
+		return out
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		row, _ := decode.Position()
+		return []string{fmt.Sprintf("line %d: %s; correct the TOML", row, decode.Error())}
+	}
+	return []string{err.Error() + "; correct the TOML"}
+}
+
+func (s Settings) faults(role Role) []string {
+	var out []string
+	add := func(field, remedy string) { out = append(out, field+": "+remedy) }
+	if s.Name == "" {
+		add("name", "missing; give the instance a name that is unique in the fleet")
+	}
+	if s.Zone == "" {
+		add("zone", "missing; give the availability zone")
+	}
+	if s.FleetKeyFile == "" {
+		add("fleet_key_file", "missing; name the file with the fleet's shared key")
+	}
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		add("log_level", "unknown level "+s.LogLevel+"; use debug, info, warn or error")
+	}
+	out = append(out, addressFault("listen.http", s.Listen.HTTP)...)
+	out = append(out, addressFault("listen.link", s.Listen.Link)...)
+	out = append(out, addressFault("listen.gossip", s.Listen.Gossip)...)
+	if len(s.Control) == 0 {
+		add("control", "missing; list the control instances")
+	}
+	for i, p := range s.Control {
+		field := fmt.Sprintf("control[%d]", i)
+		if p.Name == "" {
+			add(field+".name", "missing; give the instance's name")
+		}
+		out = append(out, addressFault(field+".link", p.Link)...)
+		out = append(out, addressFault(field+".gossip", p.Gossip)...)
+	}
+	if n := s.TLS.named(); n != 0 && n != 3 {
+		add("tls", "cert_file, key_file and ca_file belong together; give all three or none")
+	}
+	return append(out, s.roleFaults(role)...)
+}
+
+func (s Settings) roleFaults(role Role) []string {
+	var out []string
+	switch role {
+	case RoleControl:
+		if s.Replica.DataDir == "" {
+			out = append(out, "replica.data_dir: missing; name the data folder on the disk")
+		}
+		if s.Replica.DocumentFile == "" {
+			out = append(out, "replica.document_file: missing; name the first document")
+		}
+		if s.Replica.TickMs < 1 || s.Replica.SnapshotEntries < 1 {
+			out = append(out, "replica: tick_ms and snapshot_entries must be positive")
+		}
+		if !s.listsItself() {
+			out = append(out, "control: does not list "+s.Name+"; list every control instance, this one too")
+		}
+	case RoleAgent:
+		out = append(out, addressFault("agent.announce", s.Agent.Announce)...)
+		if s.Agent.StallMs < 1 {
+			out = append(out, "agent.stall_ms: must be positive")
+		}
+	case RoleEntry:
+		if s.Entry.MaxBodyBytes < 1 || s.Entry.StopMs < 1 || s.Entry.DrainMs < 0 {
+			out = append(out, "entry: max_body_bytes and stop_ms must be positive, drain_ms not negative")
+		}
+	default:
+		out = append(out, "unknown role "+string(role))
+	}
+	return out
+}
+
+func (s Settings) listsItself() bool {
+	for _, p := range s.Control {
+		if p.Name == s.Name {
+			return true
+		}
+	}
+	return false
+}
+
+func addressFault(field, address string) []string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil {
+		return []string{fmt.Sprintf("%s: %q is not IP:port; give an address such as 10.0.0.5:7100", field, address)}
+	}
+	return nil
+}
+
+func (t TLS) named() int {
+	n := 0
+	for _, f := range []string{t.CertFile, t.KeyFile, t.CAFile} {
+		if f != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// Enabled reports whether mutual TLS is on.
+func (t TLS) Enabled() bool { return t.CertFile != "" }
+
+// minKeyBytes is the least length of the fleet's key.
+const minKeyBytes = 16
+
+// FleetKey reads the shared key.
+func (s Settings) FleetKey() ([]byte, error) {
+	b, err := os.ReadFile(s.FleetKeyFile)
+	if err != nil {
+		return nil, fmt.Errorf("read fleet key: %w; check the setting fleet_key_file", err)
+	}
+	b = bytes.TrimSpace(b)
+	if len(b) < minKeyBytes {
+		return nil, fmt.Errorf("fleet key in %s is shorter than %d bytes; make a longer one", s.FleetKeyFile, minKeyBytes)
+	}
+	return b, nil
+}
+
+// Stall returns the agent's longest time without progress.
+func (a Agent) Stall() time.Duration { return time.Duration(a.StallMs) * time.Millisecond }
+
+// Drain returns how long the entry serves on while the balancer notices.
+func (e Entry) Drain() time.Duration { return time.Duration(e.DrainMs) * time.Millisecond }
+
+// Stop returns the bound of a graceful stop.
+func (e Entry) Stop() time.Duration { return time.Duration(e.StopMs) * time.Millisecond }
--- /dev/null
+++ b/internal/serve/budget/budget.go
@@ -0,0 +1,31 @@
+package budget
+
+import "sync"
+
+// Budget is a balance of extra calls. It is safe for concurrent use.
+type Budget struct {
+	mu      sync.Mutex
+	balance float64
+	most    float64
+}
+
+// New returns a Budget that saves up to most extra calls and begins with one.
+func New(most float64) *Budget { return &Budget{balance: min(1, most), most: most} }
+
+// Earn adds the share of an ordinary call.
+func (b *Budget) Earn(share float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balance = min(b.most, b.balance+share)
+}
+
+// Spend takes one extra call from the balance, if there is one.
+func (b *Budget) Spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.balance < 1 {
+		return false
+	}
+	b.balance--
+	return true
+}
