--- /dev/null
+++ b/internal/state/quorum/node_test.go
@@ -0,0 +1,174 @@
+package quorum
+
+import (
+	"testing"
+
+	"hawthornhub.example/hawthornhub/internal/wire/statepb"
+)
+
+func voters(ids ...uint64) *statepb.Voters {
+	v := &statepb.Voters{Names: make(map[uint64]string)}
+	for _, id := range ids {
+		v.Voters = append(v.Voters, id)
+		v.Names[id] = string(rune('a' + id - 1))
+	}
+	return v
+}
+
+func withLog(id uint64, v *statepb.Voters, term uint64, entryTerms ...uint64) *Node {
+	r := Restored{
+		Hard:     &statepb.HardState{Term: term},
+		Snapshot: &statepb.Snapshot{Index: 1, Term: 1, Voters: v},
+	}
+	for i, t := range entryTerms {
+		r.Entries = append(r.Entries, &statepb.Entry{Index: uint64(i + 2), Term: t, Command: &statepb.Command{Nonce: uint64(i)}})
+	}
+	return New(Config{ID: id, ElectionTicks: 3, HeartbeatTicks: 1}, r)
+}
+
+// elect makes a node the leader by the votes of the others.
+func elect(n *Node, from ...uint64) {
+	for n.State().Role == Follower {
+		n.Step(Tick{})
+	}
+	for _, id := range from {
+		n.Step(Receive{Message: &statepb.Message{
+			Kind: statepb.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY, From: id, To: n.cfg.ID, Term: n.term + 1,
+		}})
+	}
+	for _, id := range from {
+		n.Step(Receive{Message: &statepb.Message{
+			Kind: statepb.MessageKind_MESSAGE_KIND_VOTE_REPLY, From: id, To: n.cfg.ID, Term: n.term,
+		}})
+	}
+}
+
+func ack(n *Node, from, index uint64) {
+	n.Step(Receive{Message: &statepb.Message{
+		Kind: statepb.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: from, To: n.cfg.ID, Term: n.term, LogIndex: index, Round: n.round,
+	}})
+}
+
+// An entry of an older term is not committed by counting its copies, as in
+// figure 8 of the paper; it is committed with the first of the own term.
+func TestOlderTermIsNotCommittedByCount(t *testing.T) {
+	n := withLog(1, voters(1, 2, 3, 4, 5), 3, 2)
+	elect(n, 2, 3)
+	if got, want := n.State().Role, Leader; got != want {
+		t.Fatalf("role %v, want %v", got, want)
+	}
+	ack(n, 2, 2)
+	ack(n, 3, 2)
+	if got, want := n.State().Commit, uint64(1); got != want {
+		t.Errorf("commit %d after a majority holds an entry of an older term, want %d", got, want)
+	}
+	ack(n, 2, 3)
+	ack(n, 3, 3)
+	if got, want := n.State().Commit, uint64(3); got != want {
+		t.Errorf("commit %d after a majority holds an entry of the own term, want %d", got, want)
+	}
+}
+
+func TestLearnerIsPromotedOnlyWhenCaughtUp(t *testing.T) {
+	v := voters(1, 2)
+	v.Learners, v.Names[7] = []uint64{7}, "c"
+	n := withLog(1, v, 3, 2, 2, 2)
+	elect(n, 2)
+	ack(n, 2, 5)
+	ack(n, 7, 2)
+	for range 2 {
+		n.Step(Tick{})
+		ack(n, 2, 5)
+	}
+	if got, want := len(n.State().Voters.Voters), 2; got != want {
+		t.Fatalf("%d voters while the learner lacks entries, want %d", got, want)
+	}
+	ack(n, 7, 5)
+	n.Step(Tick{})
+	if got, want := len(n.State().Voters.Voters), 3; got != want {
+		t.Errorf("%d voters after the learner has caught up, want %d", got, want)
+	}
+}
+
+func TestNoChangeOfVotersBeforeAnEntryOfTheOwnTerm(t *testing.T) {
+	n := withLog(1, voters(1, 2, 3), 3)
+	elect(n, 2)
+	n.Step(Join{Name: "d", ID: 9})
+	if got, want := len(n.State().Voters.Learners), 0; got != want {
+		t.Errorf("%d learners before the own term has committed, want %d", got, want)
+	}
+	ack(n, 2, 2)
+	n.Step(Join{Name: "d", ID: 9})
+	n.Step(Join{Name: "e", ID: 10})
+	if got, want := len(n.State().Voters.Learners), 1; got != want {
+		t.Errorf("%d learners with one change open, want %d", got, want)
+	}
+}
+
+func TestLeaderWithoutQuorumStepsDown(t *testing.T) {
+	n := withLog(1, voters(1, 2, 3), 3)
+	elect(n, 2)
+	n.Step(ReadIndex{ID: 1})
+	var unreadable bool
+	for range 4 {
+		for _, e := range n.Step(Tick{}) {
+			_, is := e.(Unreadable)
+			unreadable = unreadable || is
+		}
+	}
+	if got, want := n.State().Role, Leader; got == want {
+		t.Errorf("role %v without a quorum for an election timeout", got)
+	}
+}
+
+func TestReadWaitsForARoundThatBeganAfterIt(t *testing.T) {
+	n := withLog(1, voters(1, 2, 3), 3)
+	elect(n, 2)
+	ack(n, 2, 2)
+	readable := func(effects []Effect) bool {
+		for _, e := range effects {
+			if _, ok := e.(Readable); ok {
+				return true
+			}
+		}
+		return false
+	}
+	if readable(n.Step(ReadIndex{ID: 5})) {
+		t.Fatal("a read was answered without a quorum")
+	}
+	stale := &statepb.Message{Kind: statepb.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: 2, To: 1, Term: n.term, LogIndex: 2, Round: n.round - 1}
+	if readable(n.Step(Receive{Message: stale})) {
+		t.Error("a read was answered by a round that began before it")
+	}
+	fresh := &statepb.Message{Kind: statepb.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: 2, To: 1, Term: n.term, LogIndex: 2, Round: n.round}
+	if !readable(n.Step(Receive{Message: fresh})) {
+		t.Error("a read was not answered by a quorum's round")
+	}
+}
+
+// A vote is made lasting before the answer that gives it, so that a crash
+// cannot lead to a second vote in the same term.
+func TestVoteIsPersistedBeforeItIsGiven(t *testing.T) {
+	n := withLog(1, voters(1, 2, 3), 3)
+	effects := n.Step(Receive{Message: &statepb.Message{
+		Kind: statepb.MessageKind_MESSAGE_KIND_VOTE, From: 2, To: 1, Term: 4, LogIndex: 9, LogTerm: 3,
+	}})
+	var lasting uint64
+	for _, e := range effects {
+		if p, ok := e.(Persist); ok {
+			lasting = p.Hard.Vote
+		}
+	}
+	if got, want := lasting, uint64(2); got != want {
+		t.Fatalf("vote on disk %d, want %d", got, want)
+	}
+	restarted := withLog(1, voters(1, 2, 3), 4)
+	restarted.vote = lasting
+	for _, e := range restarted.Step(Receive{Message: &statepb.Message{
+		Kind: statepb.MessageKind_MESSAGE_KIND_VOTE, From: 3, To: 1, Term: 4, LogIndex: 9, LogTerm: 3,
+	}}) {
+		if s, ok := e.(Send); ok && !s.Message.Reject {
+			t.Error("a second vote was given in the same term")
+		}
+	}
+}
