--- a/internal/beside/gate/gate_test.go
+++ b/internal/beside/gate/gate_test.go
@@ -29,7 +29,9 @@
 	name        string
 	incarnation uint64
 	gate        *Gate
-	running     map[ID]bool
+	// queue and running are the attempts that wait and that have started.
+	queue   []ID
+	running []ID
 }
 
 // sent is a call on its way to an agent, which may arrive late or twice.
@@ -49,10 +51,14 @@
 	flight []sent
 	paid   map[string]int
 	nextIn uint64
+	// late are outcomes that were found and reach the ledger later.
+	late []*statepb.Resolve
+	// final is what callers may have been told of a key.
+	final map[string]statepb.Outcome
 }
 
 func newWorld(t *rapid.T) *world {
-	w := &world{t: t, nowMs: 1_000_000, ledger: ledger.New(), paid: make(map[string]int)}
+	w := &world{t: t, nowMs: 1_000_000, ledger: ledger.New(), paid: make(map[string]int), final: make(map[string]statepb.Outcome)}
 	for i := range 3 {
 		a := &agentSim{name: fmt.Sprintf("a%d", i)}
 		w.agents = append(w.agents, a)
@@ -67,7 +73,7 @@
 	w.nextIn++
 	a.incarnation = w.nextIn
 	a.gate = New(Config{Incarnation: a.incarnation, Capacity: 4})
-	a.running = make(map[ID]bool)
+	a.queue, a.running = nil, nil
 }
 
 func (w *world) key() string {
@@ -106,29 +112,31 @@
 	err := a.gate.Admit(s.claim)
 	var repeat *RepeatError
 	var other *IncarnationError
-	if err != nil && !errors.As(err, &repeat) && !errors.As(err, &other) {
+	switch {
+	case err == nil:
+		a.queue = append(a.queue, s.claim.ID)
+	case !errors.As(err, &repeat) && !errors.As(err, &other):
 		w.t.Fatalf("unexpected refusal %v", err)
 	}
 }
 
-// begin starts an admitted attempt, which pays at once.
+// begin starts the next waiting attempt, which pays at once.
 func (w *world) begin(a *agentSim) {
-	for id, e := range a.gate.attempts {
-		if e.State == Admitted {
-			if a.gate.Start(id) {
-				a.running[id] = true
-				w.paid[id.Account+"/"+id.Key]++
-			}
-			return
-		}
+	if len(a.queue) == 0 {
+		return
+	}
+	id := a.queue[0]
+	a.queue = a.queue[1:]
+	if a.gate.Start(id) {
+		a.running = append(a.running, id)
+		w.paid[id.Account+"/"+id.Key]++
 	}
 }
 
 func (w *world) end(a *agentSim) {
-	for id := range a.running {
-		delete(a.running, id)
-		a.gate.Finish(id, statepb.Outcome_OUTCOME_DONE, []byte("paid"))
-		return
+	if len(a.running) > 0 {
+		a.gate.Finish(a.running[0], statepb.Outcome_OUTCOME_DONE, []byte("paid"))
+		a.running = a.running[1:]
 	}
 }
 
@@ -141,22 +149,29 @@
 		got := a.gate.Ask(claimOf(c))
 		switch got.State {
 		case Barred:
+			outcome = statepb.Outcome_OUTCOME_NOT_RUN
 			if w.draw(2, "rebind") == 0 {
-				w.index++
-				r := w.ledger.Rebind(w.index, &statepb.Rebind{Account: c.Account, Key: c.Key, FromAttempt: c.Target.Attempt, Target: w.target()})
-				if r.Kind == statepb.ResultKind_RESULT_KIND_OK {
-					w.send(r.Claim)
-				}
-				return
+				w.rebind(c)
 			}
-			outcome = statepb.Outcome_OUTCOME_NOT_RUN
 		case Running:
 			return
 		default:
 			outcome, result = got.Outcome, got.Result
 		}
 	}
-	w.ledger.Resolve(&statepb.Resolve{Account: c.Account, Key: c.Key, Attempt: c.Target.Attempt, Outcome: outcome, Result: result})
+	found := &statepb.Resolve{Account: c.Account, Key: c.Key, Attempt: c.Target.Attempt, Outcome: outcome, Result: result}
+	w.late = append(w.late, found)
+	if w.draw(2, "now") == 0 {
+		w.ledger.Resolve(found)
+	}
+}
+
+func (w *world) rebind(c *statepb.ClaimState) {
+	w.index++
+	r := w.ledger.Rebind(w.index, &statepb.Rebind{Account: c.Account, Key: c.Key, FromAttempt: c.Target.Attempt, Target: w.target()})
+	if r.Kind == statepb.ResultKind_RESULT_KIND_OK {
+		w.send(r.Claim)
+	}
 }
 
 func (w *world) check() {
@@ -167,11 +182,17 @@
 	}
 	for _, c := range w.ledger.All() {
 		n := w.paid[c.Account+"/"+c.Key]
+		if told := w.final[c.Key]; told != 0 && told != c.Outcome {
+			w.t.Fatalf("%s was %v and is %v", c.Key, told, c.Outcome)
+		}
 		switch c.Outcome {
+		case statepb.Outcome_OUTCOME_UNKNOWN:
+			w.final[c.Key] = c.Outcome
 		case statepb.Outcome_OUTCOME_DONE:
 			if n != 1 {
 				w.t.Fatalf("%s is done and was paid %d times", c.Key, n)
 			}
+			w.final[c.Key] = c.Outcome
 		case statepb.Outcome_OUTCOME_NOT_RUN:
 			if n != 0 {
 				w.t.Fatalf("%s is not run and was paid %d times", c.Key, n)
@@ -182,7 +203,7 @@
 
 func (w *world) act() {
 	a := w.agents[w.draw(len(w.agents), "agent")]
-	switch w.draw(9, "act") {
+	switch w.draw(10, "act") {
 	case 0, 1:
 		w.index++
 		r := w.ledger.Claim(w.index, w.nowMs, &statepb.Claim{Account: "x", Key: w.key(), Target: w.target()})
@@ -205,7 +226,13 @@
 			}
 		}
 	case 7:
-		w.restart(a)
+		if w.draw(3, "restart") == 0 {
+			w.restart(a)
+		}
+	case 9:
+		if len(w.late) > 0 {
+			w.ledger.Resolve(w.late[w.draw(len(w.late), "late")])
+		}
 	case 8:
 		w.nowMs += int64(w.draw(2, "jump")) * ledger.Retention.Milliseconds() / 2
 		w.ledger.Retire(w.nowMs)
@@ -242,3 +269,15 @@
 		t.Errorf("state %v, want %v", got, want)
 	}
 }
+
+// The first outcome of an attempt stands, whatever is found later.
+func TestFirstOutcomeStands(t *testing.T) {
+	l := ledger.New()
+	claim := l.Claim(1, 5000, &statepb.Claim{Account: "x", Key: "5000-k", Target: &statepb.Target{Agent: "a", Incarnation: 1}}).Claim
+	for _, o := range []statepb.Outcome{statepb.Outcome_OUTCOME_DONE, statepb.Outcome_OUTCOME_UNKNOWN, statepb.Outcome_OUTCOME_NOT_RUN} {
+		r := l.Resolve(&statepb.Resolve{Account: "x", Key: "5000-k", Attempt: claim.Target.Attempt, Outcome: o})
+		if got, want := r.Claim.Outcome, statepb.Outcome_OUTCOME_DONE; got != want {
+			t.Errorf("outcome %v after %v was found, want %v", got, o, want)
+		}
+	}
+}
--- a/internal/state/disk/store_test.go
+++ b/internal/state/disk/store_test.go
@@ -29,6 +29,22 @@
 	now    map[string][]byte
 	// failSync makes the next sync fail.
 	failSync bool
+	// failAfter counts down the operations before one fails; 0 is never.
+	failAfter int
+}
+
+var errCrash = errors.New("crash")
+
+// op counts an operation and returns an error where the crash is due.
+func (m *memory) op() error {
+	if m.failAfter == 0 {
+		return nil
+	}
+	m.failAfter--
+	if m.failAfter == 0 {
+		return errCrash
+	}
+	return nil
 }
 
 func newMemory() *memory {
@@ -49,6 +65,9 @@
 	if f.m.failSync {
 		return errors.New("no space")
 	}
+	if err := f.m.op(); err != nil {
+		return err
+	}
 	f.m.synced[f.name] = slices.Clone(f.m.now[f.name])
 	return nil
 }
@@ -84,6 +103,9 @@
 func (m *memory) Append(name string) (File, error) { return memoryFile{m, name}, nil }
 
 func (m *memory) Rename(from, to string) error {
+	if err := m.op(); err != nil {
+		return err
+	}
 	m.now[to] = m.now[from]
 	m.synced[to] = m.synced[from]
 	delete(m.now, from)
@@ -92,12 +114,15 @@
 }
 
 func (m *memory) Remove(name string) error {
+	if err := m.op(); err != nil {
+		return err
+	}
 	delete(m.now, name)
 	delete(m.synced, name)
 	return nil
 }
 
-func (m *memory) SyncDir() error { return nil }
+func (m *memory) SyncDir() error { return m.op() }
 
 // crash loses what was not synced, but for torn bytes of each file's tail.
 func (m *memory) crash(torn int) {
@@ -150,12 +175,22 @@
 					continue
 				}
 				cut := rapid.IntRange(1, len(tail)).Draw(t, "cut")
-				base = tail[cut-1].Index
-				tail = slices.Clone(tail[cut:])
-				if err := s.Save(&statepb.Snapshot{Index: base, Term: term}, &statepb.HardState{Term: term}, tail); err != nil {
-					t.Fatalf("save: %v", err)
+				next, rest := tail[cut-1].Index, slices.Clone(tail[cut:])
+				m.failAfter = rapid.IntRange(0, 7).Draw(t, "crash")
+				err := s.Save(&statepb.Snapshot{Index: next, Term: term}, &statepb.HardState{Term: term}, rest)
+				m.failAfter = 0
+				if err == nil {
+					base, tail, want = next, rest, slices.Clone(rest)
+					continue
 				}
-				want = slices.Clone(tail)
+				m.crash(0)
+				var o Opened
+				s, o = open(t, m)
+				if o.Snapshot.GetIndex() == next {
+					base, tail, want = next, rest, slices.Clone(rest)
+				}
+				compare(t, o, base, want)
+				tail = slices.Clone(want)
 			default:
 				if err := s.Append(&statepb.HardState{Term: term + 50}, []*statepb.Entry{entry(base+uint64(len(tail))+1, 99)}); err != nil {
 					t.Fatalf("append: %v", err)
--- a/internal/state/machine/machine_test.go
+++ b/internal/state/machine/machine_test.go
@@ -159,7 +159,7 @@
 			Sections: map[string]string{"routing": fmt.Sprintf("[routing]\ncandidates = %d\n", attempt)},
 		}}
 	case 4:
-		c.Body = &statepb.Command_Grant{Grant: &statepb.Grant{Account: "dakgoot", Units: uint64(attempt)}}
+		c.Body = &statepb.Command_Grant{Grant: &statepb.Grant{Account: "dakgoot", Units: 20}}
 	case 5:
 		c.Body = &statepb.Command_Order{Order: &statepb.Order{Id: key, Upstream: "u", Action: "load"}}
 	default:
@@ -175,7 +175,10 @@
 		a, b := newMachine(t), newMachine(t)
 		nowMs := startMs
 		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
-			nowMs += int64(rapid.IntRange(0, 4_000_000).Draw(t, "ms"))
+			nowMs += int64(rapid.IntRange(0, 900).Draw(t, "ms"))
+			if rapid.IntRange(0, 9).Draw(t, "jump") == 0 {
+				nowMs += ledger.Retention.Milliseconds() / 3
+			}
 			c := drawCommand(t, nowMs)
 			if rapid.IntRange(0, 4).Draw(t, "restore") == 0 {
 				state, err := b.Snapshot()
