fleet/link, beside/agent: write a frame once, and a whole answer with its end

Cause: yamux writes a frame's header and body apart, and the agent sent the one chunk of a whole answer and its end as two messages, so that the entry was woken up to four times for one answer. Ruled out: encoding (17 allocations a chunk in both directions before and after).

--- a/cmd/hawthornbench/main.go
+++ b/cmd/hawthornbench/main.go
@@ -4,6 +4,7 @@
 // # Usage
 //
 //	go run ./cmd/hawthornbench demo
+//	go run ./cmd/hawthornbench path
 package main
 
 import (
@@ -21,7 +22,7 @@
 
 func main() {
 	app := kingpin.New("hawthornbench", "Fleets of real processes on loopback, for demonstration and measurement.")
-	commands := []command{demoCommand(app)}
+	commands := []command{demoCommand(app), pathCommand(app)}
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
 	for _, c := range commands {
 		if c.clause.FullCommand() != chosen {
--- /dev/null
+++ b/cmd/hawthornbench/usage.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// clockTick is the unit of processor time in the process table.
+	clockTick = 10 * time.Millisecond
+	// pageBytes is the unit of resident memory in the process table.
+	pageBytes = 4096
+)
+
+// usage is what a process has used.
+type usage struct {
+	cpu time.Duration
+	rss int64
+}
+
+// usageOf reads what a process of the fleet has used so far.
+func (f *fleet) usageOf(name string) (usage, error) {
+	pid := f.instances[name].cmd.Process.Pid
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return usage{}, fmt.Errorf("read usage of %s: %w", name, err)
+	}
+	fields := strings.Fields(string(b[strings.LastIndexByte(string(b), ')')+1:]))
+	user, err1 := strconv.ParseInt(fields[11], 10, 64)
+	system, err2 := strconv.ParseInt(fields[12], 10, 64)
+	pages, err3 := strconv.ParseInt(fields[21], 10, 64)
+	if err1 != nil || err2 != nil || err3 != nil {
+		return usage{}, fmt.Errorf("parse usage of %s", name)
+	}
+	return usage{cpu: time.Duration(user+system) * clockTick, rss: pages * pageBytes}, nil
+}
--- a/internal/beside/agent/call.go
+++ b/internal/beside/agent/call.go
@@ -38,9 +38,10 @@
 		return
 	}
 	queued := time.Since(arrived)
-	end := a.run(ctx, st, call, d, id)
+	var held []*fleetpb.Envelope
+	end := a.run(ctx, st, call, d, id, &held)
 	end.QueueUs = queued.Microseconds()
-	a.end(st, call, end)
+	a.end(st, call, end, held...)
 }
 
 // check refuses a call that is malformed or was made under another document.
@@ -102,8 +103,9 @@
 	return <-decide, true
 }
 
-// run runs a call on the upstream and passes its chunks on.
-func (a *Agent) run(ctx context.Context, st *link.Stream, call *fleetpb.Call, d decision, id uint64) *fleetpb.CallEnd {
+// run runs a call on the upstream. The chunks of a stream are passed on at
+// once, those of a whole answer are put into held, to go out with its end.
+func (a *Agent) run(ctx context.Context, st *link.Stream, call *fleetpb.Call, d decision, id uint64, held *[]*fleetpb.Envelope) *fleetpb.CallEnd {
 	began := time.Now()
 	a.cfg.Timeline.Add("run", call.Id.Request, fmt.Sprintf("stage %d attempt %d on %s", call.Id.Stage, call.Id.Attempt, call.Kind))
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -117,7 +119,11 @@
 		if call.Once {
 			kept = append(kept, l.Data...)
 		}
-		return a.pass(st, call, l)
+		if !call.Stream {
+			*held = append(*held, chunkOf(call, l))
+			return nil
+		}
+		return st.Send(chunkOf(call, l))
 	})
 	took := time.Since(began)
 	end := &fleetpb.CallEnd{ServiceUs: took.Microseconds(), Chunks: line.Chunks, Tokens: line.Tokens, Outcome: statepb.Outcome_OUTCOME_DONE}
@@ -159,21 +165,17 @@
 	end.Failure = refusal(kind, ran, err.Error(), "see whether the upstream lives; a repeatable stage goes to another")
 }
 
-// pass sends a chunk on. A once-only call runs on without its entry.
-func (a *Agent) pass(st *link.Stream, call *fleetpb.Call, l upstream.Line) error {
-	err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_Chunk{Chunk: &fleetpb.Chunk{Id: call.Id, Seq: l.Seq, Data: l.Data}}})
-	if call.Once {
-		return nil
-	}
-	return err
+func chunkOf(call *fleetpb.Call, l upstream.Line) *fleetpb.Envelope {
+	return &fleetpb.Envelope{Body: &fleetpb.Envelope_Chunk{Chunk: &fleetpb.Chunk{Id: call.Id, Seq: l.Seq, Data: l.Data}}}
 }
 
-// end closes a call with the agent's word on its queue.
-func (a *Agent) end(st *link.Stream, call *fleetpb.Call, e *fleetpb.CallEnd) {
+// end closes a call with the agent's word on its queue, behind the chunks that
+// were held back.
+func (a *Agent) end(st *link.Stream, call *fleetpb.Call, e *fleetpb.CallEnd, held ...*fleetpb.Envelope) {
 	e.Id = call.GetId()
 	e.Digest = call.GetDigest()
 	e.Word = a.Word()
-	if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_CallEnd{CallEnd: e}}); err != nil {
+	if err := st.Send(append(held, &fleetpb.Envelope{Body: &fleetpb.Envelope_CallEnd{CallEnd: e}})...); err != nil {
 		a.cfg.Timeline.Add("end_lost", call.GetId().GetRequest(), err.Error())
 	}
 }
--- a/internal/fleet/link/pool.go
+++ b/internal/fleet/link/pool.go
@@ -110,7 +110,7 @@
 		conn.Close()
 		return nil, err
 	}
-	session, err := yamux.Client(secured, yamuxConfig())
+	session, err := yamux.Client(&coalescer{Conn: secured}, yamuxConfig())
 	if err != nil {
 		conn.Close()
 		return nil, fmt.Errorf("start session with %s: %w", address, err)
--- a/internal/fleet/link/server.go
+++ b/internal/fleet/link/server.go
@@ -102,7 +102,7 @@
 		conn.Close()
 		return
 	}
-	session, err := yamux.Server(secured, yamuxConfig())
+	session, err := yamux.Server(&coalescer{Conn: secured}, yamuxConfig())
 	if err != nil {
 		conn.Close()
 		return
--- a/internal/fleet/link/stream.go
+++ b/internal/fleet/link/stream.go
@@ -66,18 +66,21 @@
 	return &Stream{local: local, raw: raw, r: bufio.NewReaderSize(raw, readBuffer)}
 }
 
-// Send stamps and writes one Envelope.
-func (s *Stream) Send(e *fleetpb.Envelope) error {
-	s.local.stamp(e)
+// Send stamps and writes Envelopes, all in one write.
+func (s *Stream) Send(envelopes ...*fleetpb.Envelope) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := protowire.AppendVarint(s.buf[:0], uint64(proto.Size(e)))
-	b, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(b, e)
-	if err != nil {
-		return fmt.Errorf("encode envelope: %w", err)
+	s.buf = s.buf[:0]
+	for _, e := range envelopes {
+		s.local.stamp(e)
+		s.buf = protowire.AppendVarint(s.buf, uint64(proto.Size(e)))
+		b, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(s.buf, e)
+		if err != nil {
+			return fmt.Errorf("encode envelope: %w", err)
+		}
+		s.buf = b
 	}
-	s.buf = b
-	if _, err := s.raw.Write(b); err != nil {
+	if _, err := s.raw.Write(s.buf); err != nil {
 		return fmt.Errorf("send to %s: %w", s.raw.RemoteAddr(), err)
 	}
 	return nil
