--- a/cmd/hawthornbench/fleet.go
+++ b/cmd/hawthornbench/fleet.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -101,22 +102,43 @@
 // hashOf returns the hash of a key, as the document holds it.
 func hashOf(key string) string { return fmt.Sprintf("%x", sha256.Sum256([]byte(key))) }
 
+// The ports are chosen below those that the system gives to outgoing
+// connections, which could otherwise take one before its process listens.
+const (
+	firstPort = 10_000
+	lastPort  = 30_000
+)
+
+// taken are the ports that were given out.
+var taken = make(map[int]bool)
+
 // freePort returns a loopback address that was free a moment ago.
-func freePort(network string) (string, error) {
-	if network == "udp" {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			return "", fmt.Errorf("find port: %w", err)
+func freePort() (string, error) {
+	for range lastPort - firstPort {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if taken[port] {
+			continue
+		}
+		taken[port] = true
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if isFree(address) {
+			return address, nil
 		}
-		defer c.Close()
-		return c.LocalAddr().String(), nil
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return "", errors.New("no free port")
+}
+
+func isFree(address string) bool {
+	c, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
-		return "", fmt.Errorf("find port: %w", err)
+		return false
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return ln.Close() == nil
 }
 
 // startFleet starts all processes and waits until the fleet serves.
@@ -190,13 +212,13 @@
 func (f *fleet) address(name string) error {
 	in := &instance{name: name, bin: "hawthornhub", log: f.path(name + ".log"), dataDir: f.path(name + ".data")}
 	var err error
-	if in.http, err = freePort("tcp"); err != nil {
+	if in.http, err = freePort(); err != nil {
 		return err
 	}
-	if in.link, err = freePort("tcp"); err != nil {
+	if in.link, err = freePort(); err != nil {
 		return err
 	}
-	if in.gossip, err = freePort("udp"); err != nil {
+	if in.gossip, err = freePort(); err != nil {
 		return err
 	}
 	f.instances[name] = in
@@ -236,14 +258,14 @@
 	if err := f.address(u.name); err != nil {
 		return err
 	}
-	announce, err := freePort("tcp")
+	announce, err := freePort()
 	if err != nil {
 		return err
 	}
 	if err := f.write(u.name, f.common(u.name, u.zone)+fmt.Sprintf("[agent]\nannounce = %q\n", announce)); err != nil {
 		return err
 	}
-	serve, err := freePort("tcp")
+	serve, err := freePort()
 	if err != nil {
 		return err
 	}
--- a/cmd/hawthornhub/entry.go
+++ b/cmd/hawthornhub/entry.go
@@ -128,6 +128,9 @@
 	if !e.process.Follower.Held().Fresh(time.Now()) {
 		return errors.New("the document is not confirmed")
 	}
+	if !e.process.Synced() {
+		return errors.New("the other processes are not known yet")
+	}
 	return nil
 }
 
--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -241,6 +241,7 @@
 		return
 	}
 	t.differing = t.sendDiffering(g.Udp, t.digests(), g.Digests)
+	t.synced = t.synced || !t.differing
 }
 
 // sendDiffering sends the records of differing buckets, a bounded number of
--- a/internal/fleet/member/service.go
+++ b/internal/fleet/member/service.go
@@ -60,6 +60,7 @@
 	members   atomic.Pointer[[]*fleetpb.Member]
 	datagrams atomic.Uint64
 	bytes     atomic.Uint64
+	synced    atomic.Bool
 	done      chan struct{}
 	wg        sync.WaitGroup
 }
@@ -146,6 +147,9 @@
 // Members returns the known processes, this one included.
 func (s *Service) Members() []*fleetpb.Member { return *s.members.Load() }
 
+// Synced reports whether this process has ever known all that another knew.
+func (s *Service) Synced() bool { return s.synced.Load() }
+
 // Traffic returns what was sent so far.
 func (s *Service) Traffic() Traffic {
 	return Traffic{Datagrams: s.datagrams.Load(), Bytes: s.bytes.Load()}
@@ -198,6 +202,7 @@
 		h.carry(h.table.Step(Tick{}))
 	case *received:
 		h.carry(h.table.Step(Receive{Gossip: msg.gossip}))
+		h.service.synced.Store(h.table.Synced())
 		if heard := h.service.cfg.Heard; heard != nil {
 			heard(msg.gossip.Document)
 		}
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -116,6 +116,7 @@
 	ticks     int
 	exchange  int
 	differing bool
+	synced    bool
 	selfLeft  int
 	document  uint64
 	out       []Effect
@@ -161,6 +162,9 @@
 	return out
 }
 
+// Synced reports whether the table has ever equalled another's.
+func (t *Table) Synced() bool { return t.synced }
+
 // Document returns the highest document index heard of.
 func (t *Table) Document() uint64 { return t.document }
 
--- a/internal/fleet/process/process.go
+++ b/internal/fleet/process/process.go
@@ -212,6 +212,12 @@
 	return nil
 }
 
+// Synced reports whether the process has learned who else is there.
+func (p *Process) Synced() bool {
+	svc := p.members.Load()
+	return svc != nil && svc.Synced()
+}
+
 // Traffic returns what membership has sent.
 func (p *Process) Traffic() member.Traffic {
 	if svc := p.members.Load(); svc != nil {
--- a/internal/fleet/replica/serve.go
+++ b/internal/fleet/replica/serve.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
 	"hawthornhub.example/hawthornhub/internal/fleet/control"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/state/machine"
@@ -46,6 +48,7 @@
 		}
 		next, err := st.Recv()
 		if err != nil {
+			r.cfg.Log.Debug("stream of another replica ended", zap.String("from", e.From), zap.Error(err))
 			return
 		}
 		e = next
--- a/internal/serve/once/runner.go
+++ b/internal/serve/once/runner.go
@@ -23,6 +23,8 @@
 	poll = 50 * time.Millisecond
 	// askTimeout bounds one question to an agent.
 	askTimeout = time.Second
+	// upstreamWait is how long a call waits for an upstream to appear.
+	upstreamWait = 2 * time.Second
 	// maxTargets is the greatest number of agents tried for a call.
 	maxTargets = 4
 )
@@ -99,7 +101,7 @@
 func (r *Runner) Run(ctx context.Context, c Call) (Result, error) {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline.Add(settleGrace))
 	defer cancel()
-	target, ok := r.pick(c, nil)
+	target, ok := r.waitForUpstream(ctx, c)
 	if !ok {
 		return r.unplaced(ctx, c)
 	}
@@ -135,6 +137,21 @@
 	return r.cfg.Table.Pick(time.Now(), need, c.Routing)
 }
 
+// waitForUpstream chooses an upstream, waiting a little for one to appear.
+func (r *Runner) waitForUpstream(ctx context.Context, c Call) (route.Upstream, bool) {
+	until := time.Now().Add(min(upstreamWait, time.Until(c.Deadline)))
+	for {
+		if u, ok := r.pick(c, nil); ok || time.Now().After(until) {
+			return u, ok
+		}
+		select {
+		case <-ctx.Done():
+			return route.Upstream{}, false
+		case <-time.After(poll):
+		}
+	}
+}
+
 func (r *Runner) propose(ctx context.Context, cmd *statepb.Command) (*statepb.Result, error) {
 	return r.cfg.Ledger.Propose(ctx, cmd)
 }
--- a/internal/state/quorum/election.go
+++ b/internal/state/quorum/election.go
@@ -40,8 +40,8 @@
 	}
 	if n.beat >= n.cfg.HeartbeatTicks {
 		n.heartbeat()
-		n.promote()
 	}
+	n.promote()
 }
 
 func (n *Node) becomeFollower(term, lead uint64) {
--- a/internal/state/quorum/node_test.go
+++ b/internal/state/quorum/node_test.go
@@ -172,3 +172,24 @@
 		}
 	}
 }
+
+// A learner is promoted however often the leader is read from: each read
+// begins a heartbeat round of its own.
+func TestReadsDoNotStarvePromotion(t *testing.T) {
+	v := voters(1, 2)
+	v.Learners, v.Names[7] = []uint64{7}, "c"
+	n := withLog(1, v, 3)
+	n.cfg.HeartbeatTicks = 2
+	elect(n, 2)
+	ack(n, 2, 2)
+	ack(n, 7, 2)
+	for i := range uint64(5) {
+		n.Step(ReadIndex{ID: i + 1})
+		ack(n, 2, 2)
+		ack(n, 7, 2)
+		n.Step(Tick{})
+	}
+	if got, want := len(n.State().Voters.Voters), 3; got != want {
+		t.Errorf("%d voters, want %d", got, want)
+	}
+}
