fleet/replica: notice that a peer has closed the stream; hawthornbench: measure state

Cause: a restarted control instance listens before its state is loaded, and closed the stream of a leader that came in between. Writing to a stream that only the other side has closed gives no error, so the leader wrote into it until yamux reset it after 30 s; for that time the instance did not take part. Senders now watch for the peer's close, and control serves streams only once its replica is there. TestMessagesGoOnAfterAPeerClosedTheStream fails without the watch.

--- a/cmd/hawthornbench/main.go
+++ b/cmd/hawthornbench/main.go
@@ -6,6 +6,7 @@
 //	go run ./cmd/hawthornbench demo
 //	go run ./cmd/hawthornbench path
 //	go run ./cmd/hawthornbench matrix
+//	go run ./cmd/hawthornbench state
 package main
 
 import (
@@ -23,7 +24,7 @@
 
 func main() {
 	app := kingpin.New("hawthornbench", "Fleets of real processes on loopback, for demonstration and measurement.")
-	commands := []command{demoCommand(app), pathCommand(app), matrixCommand(app)}
+	commands := []command{demoCommand(app), pathCommand(app), matrixCommand(app), stateCommand(app)}
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
 	for _, c := range commands {
 		if c.clause.FullCommand() != chosen {
--- a/cmd/hawthornhub/control.go
+++ b/cmd/hawthornhub/control.go
@@ -44,8 +44,10 @@
 	process  *process.Process
 	platform *platform.Platform
 	replica  atomic.Pointer[replica.Replica]
-	sweeper  *sweep.Sweeper
-	http     *http.Server
+	// ready is closed once replica is set.
+	ready   chan struct{}
+	sweeper *sweep.Sweeper
+	http    *http.Server
 }
 
 func runControl(file string) error {
@@ -74,7 +76,10 @@
 }
 
 func startControl(s settings.Settings, first string, log *zap.Logger) (*controller, error) {
-	c := &controller{platform: platform.New(platform.Config{Role: "control", Process: s.Name})}
+	c := &controller{
+		platform: platform.New(platform.Config{Role: "control", Process: s.Name}),
+		ready:    make(chan struct{}),
+	}
 	var err error
 	c.process, err = process.Start(process.Config{
 		Settings: s,
@@ -104,6 +109,7 @@
 		return nil, errors.Join(err, c.process.Close())
 	}
 	c.replica.Store(r)
+	close(c.ready)
 	return c, c.serve(s, log)
 }
 
@@ -112,7 +118,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", operator.NewServer(operator.Config{Client: p.Client, Pool: p.Pool, Members: p.Members, Timeline: p.Timeline}))
 	c.platform.Routes(mux)
-	c.platform.SetReady(c.ready)
+	c.platform.SetReady(c.readiness)
 	var err error
 	if c.http, err = serveHTTP(s.Listen.HTTP, mux, log); err != nil {
 		return err
@@ -151,7 +157,7 @@
 	}
 }
 
-func (c *controller) ready() error {
+func (c *controller) readiness() error {
 	r := c.replica.Load()
 	if r == nil || r.View().Leader == 0 {
 		return errors.New("no leader")
@@ -160,8 +166,10 @@
 }
 
 func (c *controller) handle(ctx context.Context, st *link.Stream, first *fleetpb.Envelope) {
-	if r := c.replica.Load(); r != nil {
-		r.Serve(ctx, st, first)
+	select {
+	case <-ctx.Done():
+	case <-c.ready:
+		c.replica.Load().Serve(ctx, st, first)
 	}
 }
 
--- a/internal/fleet/replica/peers.go
+++ b/internal/fleet/replica/peers.go
@@ -71,6 +71,8 @@
 					continue
 				}
 				st = opened
+				s.wg.Add(1)
+				go s.watch(opened)
 			}
 			if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_Replica{Replica: m}}); err != nil {
 				st.Close()
@@ -80,6 +82,16 @@
 	}
 }
 
+// watch closes a stream that the peer has closed. Nothing is ever received on
+// it, and writing to it would go on without an error and without effect.
+func (s *senders) watch(st *link.Stream) {
+	defer s.wg.Done()
+	stop := context.AfterFunc(s.ctx, func() { st.Close() })
+	defer stop()
+	_, _ = st.Recv()
+	st.Close()
+}
+
 // backOff waits after a failed dial and drops what has gathered, which would
 // be stale by then.
 func (s *senders) backOff(q <-chan *statepb.Message) {
--- a/internal/fleet/replica/replica_test.go
+++ b/internal/fleet/replica/replica_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/timeline"
 	"hawthornhub.example/hawthornhub/internal/state/machine"
 	"hawthornhub.example/hawthornhub/internal/state/quorum"
+	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 )
 
@@ -327,3 +329,47 @@
 		t.Errorf("proposal after stepping down: %v, want a NotLeaderError", err)
 	}
 }
+
+// A peer that closes a stream, as one does that is still starting, is sent to
+// over a new one.
+func TestMessagesGoOnAfterAPeerClosedTheStream(t *testing.T) {
+	var streams atomic.Int64
+	got := make(chan *statepb.Message, 1024)
+	server, err := link.Listen(link.ServerConfig{
+		Address: "127.0.0.1:0", Local: link.Local{Name: "c2"}, Auth: link.Auth{Key: fleetKey},
+		Handle: func(_ context.Context, st *link.Stream, first *fleetpb.Envelope) {
+			if streams.Add(1) == 1 {
+				return
+			}
+			for e := first; ; {
+				got <- e.GetReplica()
+				next, err := st.Recv()
+				if err != nil {
+					return
+				}
+				e = next
+			}
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := link.NewPool(link.PoolConfig{Local: link.Local{Name: "c1"}, Auth: link.Auth{Key: fleetKey}})
+	s := newSenders(Config{Name: "c1", Pool: pool, Peers: []control.Address{{Name: "c1"}, {Name: "c2", Link: server.Address()}}})
+	defer func() {
+		s.close()
+		_ = pool.Close()
+		_ = server.Close()
+	}()
+	deadline := time.After(5 * time.Second)
+	for {
+		s.to("c2", &statepb.Message{To: 2})
+		select {
+		case <-got:
+			return
+		case <-deadline:
+			t.Fatal("no message arrived after the peer had closed the first stream")
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
