--- a/cmd/hawthornbench/measure.go
+++ b/cmd/hawthornbench/measure.go
@@ -40,7 +40,7 @@
 
 var policies = []policy{
 	{"baseline", "policy = \"baseline\"\nqueue = \"fifo\"\nadmission = false\nhedge_quantile = 0.0\n"},
-	{"policy", "policy = \"expected\"\nqueue = \"slack\"\nadmission = true\nhedge_quantile = 0.95\nhedge_budget = 0.03\n"},
+	{"policy", "policy = \"expected\"\ncandidates = 8\nqueue = \"slack\"\nadmission = true\nhedge_quantile = 0.95\nhedge_budget = 0.03\n"},
 }
 
 func measureCommand(app *kingpin.Application) command {
--- a/internal/serve/admit/book.go
+++ b/internal/serve/admit/book.go
@@ -14,10 +14,16 @@
 	crowdedShare = 0.35
 )
 
+// Pool is one lane of a pool of upstreams.
+type Pool struct {
+	Name string
+	// Long is set for the lane of long work.
+	Long bool
+}
+
 // Stage is the work of one stage of a request.
 type Stage struct {
-	// Pool names the pool of upstreams.
-	Pool string
+	Pool Pool
 	// ServiceUs is the expected service time.
 	ServiceUs float64
 }
@@ -55,7 +61,7 @@
 // use.
 type Book struct {
 	mu      sync.Mutex
-	ahead   map[string]float64
+	ahead   map[Pool]float64
 	held    map[string]float64
 	weights map[string]float64
 	open    map[string]int
@@ -64,21 +70,34 @@
 // NewBook returns a Book without requests.
 func NewBook() *Book {
 	return &Book{
-		ahead:   make(map[string]float64),
+		ahead:   make(map[Pool]float64),
 		held:    make(map[string]float64),
 		weights: make(map[string]float64),
 		open:    make(map[string]int),
 	}
 }
 
-// Admit takes a request, or returns a *RefusedError.
-func (b *Book) Admit(r *Request, capacity Capacity) error {
+// laneSlots is the part of a pool's slots that serves a lane. Long work has its
+// share of them; short work has all that long work does not hold.
+func (b *Book) laneSlots(p Pool, slots, longShare float64) float64 {
+	if p.Long {
+		return slots * longShare
+	}
+	if b.ahead[Pool{Name: p.Name, Long: true}] > 0 {
+		return slots * (1 - longShare)
+	}
+	return slots
+}
+
+// Admit takes a request, or returns a *RefusedError. Long work may hold
+// longShare of the slots.
+func (b *Book) Admit(r *Request, longShare float64, capacity Capacity) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	service, wait := 0.0, 0.0
 	for _, s := range r.Stages {
 		service += s.ServiceUs
-		if slots := capacity(s.Pool); slots > 0 {
+		if slots := b.laneSlots(s.Pool, capacity(s.Pool.Name), longShare); slots > 0 {
 			wait = max(wait, b.ahead[s.Pool]/slots)
 		}
 	}
--- a/internal/serve/admit/doc.go
+++ b/internal/serve/admit/doc.go
@@ -10,7 +10,7 @@
 // # Usage
 //
 //	b := admit.NewBook()
-//	if err := b.Admit(request, capacity); err != nil { ... refuse ... }
+//	if err := b.Admit(request, longShare, capacity); err != nil { ... refuse ... }
 //	b.StageDone(request, 0)
 //	b.Leave(request)
 package admit
--- a/internal/serve/pipeline/executor.go
+++ b/internal/serve/pipeline/executor.go
@@ -159,21 +159,21 @@
 		Weight:   max(1, float64(s.Accounts[r.Account].Weight)),
 		Deadline: time.Until(r.Deadline),
 	}
+	groups := make(map[string]route.Group, len(p.Stages))
 	for i, st := range p.Stages {
 		input := r.Input
 		if i > 0 {
 			input = nil
 		}
 		g := groupOf(st)
-		ticket.Stages = append(ticket.Stages, admit.Stage{Pool: poolName(g), ServiceUs: x.cfg.Table.Predict(g, sizeOf(st, r, input))})
-	}
-	groups := make(map[string]route.Group, len(p.Stages))
-	for _, st := range p.Stages {
-		groups[poolName(groupOf(st))] = groupOf(st)
+		size := sizeOf(st, r, input)
+		pool := admit.Pool{Name: poolName(g), Long: size >= float64(s.Upstreams.LongTokens)}
+		ticket.Stages = append(ticket.Stages, admit.Stage{Pool: pool, ServiceUs: x.cfg.Table.Predict(g, size)})
+		groups[pool.Name] = g
 	}
 	entries := float64(max(1, x.cfg.Entries()))
 	now := time.Now()
-	err := x.cfg.Book.Admit(ticket, func(pool string) float64 {
+	err := x.cfg.Book.Admit(ticket, s.Upstreams.LongShare, func(pool string) float64 {
 		slots, _ := x.cfg.Table.Slots(now, groups[pool])
 		return slots / entries
 	})
--- a/internal/serve/pipeline/stage.go
+++ b/internal/serve/pipeline/stage.go
@@ -93,7 +93,10 @@
 // hedgeDelay is the time after which the stage is late against its like.
 func (s *stageRun) hedgeDelay() time.Duration {
 	r := s.schema.Routing
-	us := s.x.cfg.Table.HedgeAfter(s.group(), s.size())
+	us := 0.0
+	if len(s.active) > 0 {
+		us = s.x.cfg.Table.HedgeAfter(s.active[0].upstream, s.size())
+	}
 	if r.HedgeQuantile == 0 || r.Policy == "baseline" || us == 0 {
 		return time.Until(s.request.Deadline) + time.Second
 	}
@@ -326,7 +329,7 @@
 // abandon cancels an attempt whose result is not used.
 func (s *stageRun) abandon(a *attempt) {
 	s.cost.WastedUs += time.Since(a.began).Microseconds()
-	s.x.cfg.Table.End(time.Now(), a.placed, route.Ended{})
+	s.x.cfg.Table.End(time.Now(), a.placed, route.Ended{Outrun: s.next > 0 || len(s.output) > 0})
 	s.drop(a)
 }
 
--- a/internal/serve/route/pick.go
+++ b/internal/serve/route/pick.go
@@ -93,12 +93,25 @@
 	return t.lines[g].Predict(size)
 }
 
-// HedgeAfter returns the time in microseconds after which a call of a size is
-// late, 0 if unknown.
-func (t *Table) HedgeAfter(g Group, size float64) float64 {
+// hedgeLeast is the least multiple of its expected time after which a call is
+// late. Where service times hardly differ, a high quantile alone would hedge
+// calls that are about to end.
+const hedgeLeast = 1.5
+
+// HedgeAfter returns the time in microseconds after which a call of a size on
+// an upstream is late, its expected wait for a slot included; 0 if unknown.
+func (t *Table) HedgeAfter(u Upstream, size float64) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.lines[g].Predict(size) * max(1, t.ratios[g].Value())
+	service := t.lines[u.Group].Predict(size)
+	if service == 0 {
+		return 0
+	}
+	late := service * max(hedgeLeast, t.ratios[u.Group].Value())
+	if s := t.states[u.Name]; s != nil {
+		late += s.waitUs(time.Now(), service)
+	}
+	return late
 }
 
 // Slots returns the number of slots of a pool, weighed by how slow each
--- a/internal/serve/route/table.go
+++ b/internal/serve/route/table.go
@@ -24,7 +24,11 @@
 	zoneUs = 3000
 	// overdue is the multiple of its expected time from which a call that has
 	// not ended tells of a slow upstream.
-	overdue = 2
+	overdue = 1.3
+	// leanShare is the part of the service time that a full upstream counts
+	// for more than an empty one, so that the emptier of two is chosen before
+	// either has a queue.
+	leanShare = 0.1
 	// restAfterFailure is how long an upstream that failed is not chosen.
 	restAfterFailure = 300 * time.Millisecond
 )
@@ -72,6 +76,8 @@
 	QueueUs int64
 	// Word is the agent's word, nil for none.
 	Word *fleetpb.Word
+	// Outrun is set where another upstream answered first.
+	Outrun bool
 	// Failed is set where the upstream or the way to it failed.
 	Failed bool
 }
@@ -234,6 +240,9 @@
 		if e.Failed {
 			s.restTil = now.Add(restAfterFailure)
 		}
+		if e.Outrun {
+			s.observeOutrun(now, c)
+		}
 	}
 	if e.ServiceUs <= 0 {
 		return
@@ -264,6 +273,19 @@
 	s.slowAt = now
 }
 
+// observeOutrun takes the time of a call that did not end as the least it would
+// have taken. Without it a slow upstream whose calls are always hedged would
+// never be seen to be slow.
+func (s *state) observeOutrun(now time.Time, c Call) {
+	if c.expectUs <= 0 {
+		return
+	}
+	ratio := float64(now.Sub(c.began).Microseconds()) / c.expectUs
+	if ratio > overdue && ratio > s.slowness(now) {
+		s.slow, s.slowAt = min(slowMost, ratio), now
+	}
+}
+
 // slowness is how many times as long as its peers the upstream takes; it
 // fades while nothing is observed, so that the upstream is tried again.
 func (s *state) slowness(now time.Time) float64 {
@@ -303,15 +325,21 @@
 	return max(own, told*fade)
 }
 
-// finishUs is the expected time until a call of the given service time would
-// end on the upstream.
-func (s *state) finishUs(now time.Time, zone string, serviceUs float64) float64 {
+// waitUs is the expected time that a call would wait for a slot.
+func (s *state) waitUs(now time.Time, serviceUs float64) float64 {
 	slots := max(1, float64(s.Slots))
 	mean := serviceUs
 	if s.word != nil && s.word.ServiceUs > 0 {
 		mean = float64(s.word.ServiceUs)
 	}
-	wait := max(0, s.load(now)-slots+1) * mean / slots
+	return max(0, s.load(now)-slots+1) * mean / slots
+}
+
+// finishUs is the expected time until a call of the given service time would
+// end on the upstream.
+func (s *state) finishUs(now time.Time, zone string, serviceUs float64) float64 {
+	slots := max(1, float64(s.Slots))
+	wait := s.waitUs(now, serviceUs)
 	slow := s.slowness(now)
 	if s.load(now) >= slots {
 		slow = max(slow, s.overdueness(now)/2)
@@ -319,6 +347,7 @@
 		slow = max(slow, s.overdueness(now))
 	}
 	us := (wait + serviceUs) * slow
+	us += leanShare * serviceUs * s.load(now) / slots
 	if s.Zone != zone {
 		us += zoneUs
 	}
--- a/internal/state/document/schema.go
+++ b/internal/state/document/schema.go
@@ -153,7 +153,7 @@
 	return Schema{
 		Routing: Routing{
 			Policy:        "expected",
-			Candidates:    2,
+			Candidates:    8,
 			Subset:        32,
 			HedgeQuantile: 0.95,
 			HedgeBudget:   0.03,
