--- a/cmd/hawthornhub/entry.go
+++ b/cmd/hawthornhub/entry.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"go.uber.org/zap"
 
+	"hawthornhub.example/hawthornhub/internal/fleet/control"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/fleet/process"
 	"hawthornhub.example/hawthornhub/internal/front/caller"
@@ -66,6 +67,9 @@
 		Log:            log,
 		Handle:         func(context.Context, *link.Stream, *fleetpb.Envelope) {},
 		MembersChanged: table.Update,
+		DocumentChanged: func(h *control.Held) {
+			table.Configure(h.Schema.Routing)
+		},
 		Answered: func(address string, pong *fleetpb.Pong) {
 			table.Word(time.Now(), address, pong.Word)
 		},
@@ -116,7 +120,6 @@
 		Follower:     p.Follower,
 		Timeline:     p.Timeline,
 		MaxBodyBytes: s.Entry.MaxBodyBytes,
-		Log:          p.Log,
 	})
 }
 
--- a/internal/front/caller/server.go
+++ b/internal/front/caller/server.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"go.uber.org/zap"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/control"
 	"hawthornhub.example/hawthornhub/internal/fleet/timeline"
@@ -44,7 +43,6 @@
 	Timeline *timeline.Recorder
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
-	Log          *zap.Logger
 }
 
 // Server serves the callers. It is safe for concurrent use.
--- a/internal/serve/pipeline/executor.go
+++ b/internal/serve/pipeline/executor.go
@@ -231,13 +231,21 @@
 	return answer, nil
 }
 
-// reserve is the time to keep for the stages behind stage i.
+// reserve is the time to keep for the stages behind stage i: what they are
+// expected to take, or their share of the time that is left where that is not
+// known yet.
 func (x *Executor) reserve(p document.Pipeline, i int, r Request) time.Duration {
-	us := 0.0
+	left := time.Until(r.Deadline)
+	kept := time.Duration(0)
 	for _, st := range p.Stages[i+1:] {
-		us += x.cfg.Table.Predict(groupOf(st), sizeOf(st, r, nil))
+		us := x.cfg.Table.Predict(groupOf(st), sizeOf(st, r, nil))
+		if us == 0 {
+			kept += time.Duration(st.Share * float64(left))
+			continue
+		}
+		kept += time.Duration(us) * time.Microsecond
 	}
-	return time.Duration(us) * time.Microsecond
+	return kept
 }
 
 func (x *Executor) stage(ctx context.Context, run *stageRun) ([]byte, StageCost, error) {
--- a/internal/serve/route/table.go
+++ b/internal/serve/route/table.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hawthornhub.example/hawthornhub/internal/serve/estimate"
+	"hawthornhub.example/hawthornhub/internal/state/document"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
 
@@ -18,6 +19,9 @@
 	slowLife = 3 * time.Second
 	// slowShare is the weight of a new observation in a slowness.
 	slowShare = 0.3
+	// slowLeast is the slowness up to which an upstream counts like its peers;
+	// less would let noise steer all calls away from it for good.
+	slowLeast = 1.2
 	// slowMost bounds a slowness.
 	slowMost = 50
 	// zoneUs is the cost of a call to another availability zone.
@@ -115,6 +119,9 @@
 	byLink map[string]*state
 	turn   map[Group]int
 	nextID uint64
+	// quantile is the quantile of the time against the expected time that
+	// hedges are timed by.
+	quantile float64
 }
 
 // NewTable returns a Table without upstreams.
@@ -260,12 +267,15 @@
 	} else {
 		t.lines[g] = t.lines[g].WithSample(c.size, 4*c.expectUs)
 	}
-	t.ratios[g] = t.ratios[g].WithSample(hedgeQuantile, ratio)
+	t.ratios[g] = t.ratios[g].WithSample(t.quantile, ratio)
 }
 
-// hedgeQuantile is the quantile of the time against the expected time that
-// the Table follows.
-const hedgeQuantile = 0.95
+// Configure takes the routing section of a new document.
+func (t *Table) Configure(r document.Routing) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.quantile = r.HedgeQuantile
+}
 
 func (s *state) observe(now time.Time, ratio float64) {
 	old := s.slowness(now)
@@ -293,7 +303,10 @@
 		return 1
 	}
 	fade := math.Exp(-now.Sub(s.slowAt).Seconds() / slowLife.Seconds())
-	return 1 + (s.slow-1)*fade
+	if slow := 1 + (s.slow-1)*fade; slow > slowLeast {
+		return slow
+	}
+	return 1
 }
 
 // overdueness looks at the calls that have not ended yet.
--- /dev/null
+++ b/internal/serve/route/table_test.go
@@ -0,0 +1,137 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"hawthornhub.example/hawthornhub/internal/state/document"
+	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
+)
+
+var pool = Group{Kind: "generate", Model: "m"}
+
+func agents(n int) []*fleetpb.Member {
+	var out []*fleetpb.Member
+	for i := range n {
+		out = append(out, &fleetpb.Member{
+			Name: fmt.Sprintf("a%d", i), Role: "agent", Zone: "z", Link: fmt.Sprint(i), Kind: pool.Kind, Model: pool.Model,
+			Slots: 2, Incarnation: 1, State: fleetpb.MemberState_MEMBER_STATE_ALIVE,
+		})
+	}
+	return out
+}
+
+func newTable(n int) *Table {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	t := NewTable(Config{Entry: "e", Zone: "z", Random: rnd.IntN})
+	t.Configure(document.Routing{HedgeQuantile: 0.95})
+	t.Update(agents(n))
+	return t
+}
+
+var expected = document.Routing{Policy: "expected", Candidates: 8, Subset: 32}
+
+// serve places n calls one after another, each of which takes us of time on
+// its upstream, and returns how many each upstream got.
+func serve(t *Table, now time.Time, n int, us func(name string) int64) map[string]int {
+	counts := make(map[string]int)
+	need := Need{Group: pool, Size: 10}
+	for range n {
+		u, ok := t.Pick(now, need, expected)
+		if !ok {
+			continue
+		}
+		counts[u.Name]++
+		c := t.Begin(now, u, need)
+		now = now.Add(time.Millisecond)
+		t.End(now, c, Ended{ServiceUs: us(u.Name)})
+	}
+	return counts
+}
+
+func TestSlowUpstreamIsShedAndTriedAgain(t *testing.T) {
+	table := newTable(10)
+	now := time.Now()
+	serve(table, now, 200, func(string) int64 { return 1000 })
+	slowed := func(name string) int64 {
+		if name == "a3" {
+			return 10_000
+		}
+		return 1000
+	}
+	if got, most := serve(table, now.Add(time.Second), 500, slowed)["a3"], 25; got > most {
+		t.Errorf("a slow upstream got %d of 500 calls, want at most %d", got, most)
+	}
+	if got, least := serve(table, now.Add(30*time.Second), 500, func(string) int64 { return 1000 })["a3"], 20; got < least {
+		t.Errorf("a healed upstream got %d of 500 calls, want at least %d", got, least)
+	}
+}
+
+// An outage of the whole pool leaves the pool in use: slowness is relative.
+func TestWholePoolSlowIsStillUsed(t *testing.T) {
+	table := newTable(4)
+	now := time.Now()
+	serve(table, now, 100, func(string) int64 { return 1000 })
+	counts := serve(table, now.Add(time.Second), 400, func(string) int64 { return 20_000 })
+	if got, want := len(counts), 4; got != want {
+		t.Errorf("%d upstreams used, want %d", got, want)
+	}
+}
+
+// An upstream whose calls are always outrun by hedges is seen to be slow.
+func TestOutrunCallsTellOfASlowUpstream(t *testing.T) {
+	table := newTable(4)
+	now := time.Now()
+	serve(table, now, 100, func(string) int64 { return 1000 })
+	u, _ := table.Find("a2")
+	c := table.Begin(now, u, Need{Group: pool, Size: 10})
+	table.End(now.Add(8*time.Millisecond), c, Ended{Outrun: true})
+	if got := serve(table, now.Add(10*time.Millisecond), 100, func(string) int64 { return 1000 })["a2"]; got > 5 {
+		t.Errorf("an outrun upstream got %d of 100 calls, want at most 5", got)
+	}
+}
+
+func TestLeavingAndDeadUpstreamsAreNotChosen(t *testing.T) {
+	table := newTable(3)
+	members := agents(3)
+	members[0].State = fleetpb.MemberState_MEMBER_STATE_LEAVING
+	members[1].State = fleetpb.MemberState_MEMBER_STATE_DEAD
+	table.Update(members)
+	counts := serve(table, time.Now(), 50, func(string) int64 { return 1000 })
+	if got, want := counts["a2"], 50; got != want {
+		t.Errorf("the only living upstream got %d calls, want %d", got, want)
+	}
+	table.Word(time.Now(), "2", &fleetpb.Word{Leaving: true})
+	if _, ok := table.Pick(time.Now(), Need{Group: pool}, expected); ok {
+		t.Error("an upstream that said it is leaving was chosen")
+	}
+}
+
+func TestSubsetIsBoundedAndDiffersByEntry(t *testing.T) {
+	used := make(map[string]map[string]int)
+	r := expected
+	r.Subset = 8
+	for _, entry := range []string{"e1", "e2"} {
+		table := NewTable(Config{Entry: entry, Zone: "z", Random: rand.New(rand.NewPCG(2, 2)).IntN})
+		table.Update(agents(100))
+		used[entry] = make(map[string]int)
+		for range 500 {
+			u, _ := table.Pick(time.Now(), Need{Group: pool}, r)
+			used[entry][u.Name]++
+		}
+		if got, most := len(used[entry]), 8; got > most {
+			t.Errorf("%s used %d upstreams, want at most %d", entry, got, most)
+		}
+	}
+	same := 0
+	for name := range used["e1"] {
+		if used["e2"][name] > 0 {
+			same++
+		}
+	}
+	if same == 8 {
+		t.Error("two entries use the same subset")
+	}
+}
