fleet/member: let the answer to an indirect probe go back the way it came

Cause: a process that was probed on behalf of another answered the other directly, over the very link that may be broken; one broken link in a fleet of ten made a living process suspect for all, and entries do not choose suspects.

--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -187,7 +187,6 @@
 			Target:   g.Target,
 			RelayFor: g.From,
 			RelayUdp: g.Udp,
-			RelaySeq: g.Seq,
 		}))
 	case fleetpb.GossipKind_GOSSIP_KIND_EXCHANGE:
 		t.answerExchange(g)
@@ -202,15 +201,23 @@
 	if g.Target != "" && g.Target != t.self.Name {
 		return
 	}
-	ack := &fleetpb.Gossip{Kind: fleetpb.GossipKind_GOSSIP_KIND_ACK, Seq: g.Seq, Target: t.self.Name}
-	address := g.Udp
-	if g.RelayFor != "" {
-		address = g.RelayUdp
-	}
-	t.send(address, t.withNews(ack, t.self))
+	t.send(g.Udp, t.withNews(&fleetpb.Gossip{
+		Kind:     fleetpb.GossipKind_GOSSIP_KIND_ACK,
+		Seq:      g.Seq,
+		Target:   t.self.Name,
+		RelayFor: g.RelayFor,
+		RelayUdp: g.RelayUdp,
+	}, t.self))
 }
 
+// acked takes an answer to the own probe, or passes one on to the process that
+// asked for it. The answer goes back the way the probe came, as the direct way
+// may be what is broken.
 func (t *Table) acked(g *fleetpb.Gossip) {
+	if g.RelayFor != "" && g.RelayFor != t.self.Name {
+		t.send(g.RelayUdp, &fleetpb.Gossip{Kind: g.Kind, Seq: g.Seq, Target: g.Target})
+		return
+	}
 	if g.Seq == t.probe.seq && g.Target == t.probe.target {
 		t.probe.answered = true
 	}
--- /dev/null
+++ b/internal/fleet/timeline/timeline_test.go
@@ -0,0 +1,48 @@
+package timeline
+
+import (
+	"testing"
+	"time"
+)
+
+// A cause comes before its effect although the second clock is behind.
+func TestCauseComesBeforeEffect(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	a := NewRecorder(Config{Process: "a", Clock: &Clock{Now: func() time.Time { return now }}})
+	b := NewRecorder(Config{Process: "b", Clock: &Clock{Now: func() time.Time { return now.Add(-5 * time.Second) }}})
+	a.Add("dispatch", "r", "")
+	b.Clock().Observe(a.Clock().Next())
+	b.Add("run", "r", "")
+	a.Clock().Observe(b.Clock().Next())
+	a.Add("answer", "r", "")
+	merged := Merge(b.Events("r", 0), a.Events("r", 0))
+	for i, want := range []string{"dispatch", "run", "answer"} {
+		if got := merged[i].Kind; got != want {
+			t.Errorf("event %d is %s, want %s", i, got, want)
+		}
+	}
+}
+
+func TestWildClockIsIgnored(t *testing.T) {
+	c := &Clock{}
+	far := c.Next()
+	far.WallMs += 10 * MaxAhead.Milliseconds()
+	c.Observe(far)
+	if got := c.Next().WallMs; got >= far.WallMs {
+		t.Errorf("a clock far ahead moved the local one to %d", got)
+	}
+}
+
+func TestRingKeepsTheNewest(t *testing.T) {
+	r := NewRecorder(Config{Process: "a", Capacity: 4})
+	for range 10 {
+		r.Add("x", "r", "")
+	}
+	events := r.Events("", 0)
+	if got, want := len(events), 4; got != want {
+		t.Fatalf("%d events, want %d", got, want)
+	}
+	if got, want := events[3].Seq, uint64(10); got != want {
+		t.Errorf("newest is %d, want %d", got, want)
+	}
+}
