--- a/cmd/hawthornbench/client.go
+++ b/cmd/hawthornbench/client.go
@@ -138,8 +138,13 @@
 	}
 }
 
-// operate sends an operator's request to a control instance.
+// operate sends a request of the owner's team to a control instance.
 func operate(control, method, path string, body, out any) (int, error) {
+	return operateAs(control, "owner", method, path, body, out)
+}
+
+// operateAs sends a team's request to a control instance.
+func operateAs(control, team, method, path string, body, out any) (int, error) {
 	b, err := json.Marshal(body)
 	if err != nil {
 		return 0, fmt.Errorf("encode request: %w", err)
@@ -150,7 +155,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("build request: %w", err)
 	}
-	req.Header.Set(operator.HeaderTeam, "owner")
+	req.Header.Set(operator.HeaderTeam, team)
 	req.Header.Set(operator.HeaderKey, keyText)
 	resp, err := httpClient.Do(req)
 	if err != nil {
--- a/cmd/hawthornhub/control.go
+++ b/cmd/hawthornhub/control.go
@@ -129,6 +129,7 @@
 		Ledger:   p.Client,
 		Find:     placeOf(p),
 		Alive:    ownerAlive(p),
+		Await:    func(context.Context, uint64) bool { return true },
 		Timeline: p.Timeline,
 	})
 	c.sweeper = sweep.Start(sweep.Config{Replica: c.replica.Load(), Ledger: p.Client, Runner: runner, Alive: ownerAlive(p), Log: log})
--- a/cmd/hawthornhub/entry.go
+++ b/cmd/hawthornhub/entry.go
@@ -101,6 +101,7 @@
 		Ledger:   p.Client,
 		Find:     placeOf(p),
 		Alive:    ownerAlive(p),
+		Await:    p.Follower.Await,
 		Timeline: p.Timeline,
 	})
 	executor := pipeline.NewExecutor(pipeline.Config{
--- a/internal/bench/standin/run.go
+++ b/internal/bench/standin/run.go
@@ -106,7 +106,7 @@
 		if err := sleep(ctx, part); err != nil {
 			return err
 		}
-		if f.DieAtChunk > 0 && seq == f.DieAtChunk {
+		if at := s.fault.Load().DieAtChunk; at > 0 && seq >= at {
 			s.cfg.Exit(1)
 		}
 		if err := s.pay(ctx, req, f); err != nil {
--- a/internal/bench/standin/standin.go
+++ b/internal/bench/standin/standin.go
@@ -62,7 +62,8 @@
 	DieAfter  bool `json:"die_after,omitempty"`
 	// DropAnswer closes the connection in place of an answer.
 	DropAnswer bool `json:"drop_answer,omitempty"`
-	// DieAtChunk ends the process before it sends this chunk; 0 is never.
+	// DieAtChunk ends the process before it sends this chunk or a later one; 0
+	// is never.
 	DieAtChunk uint32 `json:"die_at_chunk,omitempty"`
 }
 
--- a/internal/beside/agent/agent.go
+++ b/internal/beside/agent/agent.go
@@ -19,9 +19,6 @@
 )
 
 const (
-	// documentWait is how long a call waits for a document that its entry has
-	// and the agent does not have yet.
-	documentWait = 300 * time.Millisecond
 	// floorRetry is the time between questions for the present order number.
 	floorRetry = 500 * time.Millisecond
 	// orderTimeout bounds an order to the upstream.
--- a/internal/beside/agent/call.go
+++ b/internal/beside/agent/call.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"hawthornhub.example/hawthornhub/internal/beside/upstream"
-	"hawthornhub.example/hawthornhub/internal/fleet/control"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/state/ledger"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
@@ -51,8 +50,8 @@
 	}
 	held := a.cfg.Follower.Held()
 	if document > held.Index {
-		a.cfg.Follower.Heard(document)
-		held = a.awaitDocument(document)
+		a.cfg.Follower.Await(a.ctx, document)
+		held = a.cfg.Follower.Held()
 	}
 	switch {
 	case document != held.Index:
@@ -68,17 +67,6 @@
 	}
 }
 
-func (a *Agent) awaitDocument(index uint64) *control.Held {
-	deadline := time.Now().Add(documentWait)
-	for {
-		held := a.cfg.Follower.Held()
-		if held.Index >= index || time.Now().After(deadline) {
-			return held
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-}
-
 // watch cancels a repeatable call when its entry withdraws it or goes away.
 func watch(st *link.Stream, call *fleetpb.Call, cancel context.CancelFunc) {
 	_, _ = st.Recv()
--- a/internal/fleet/control/follower.go
+++ b/internal/fleet/control/follower.go
@@ -18,6 +18,9 @@
 const (
 	// refresh is the time between confirmations of the document.
 	refresh = time.Second
+	// awaitLimit bounds the wait for a document that another process has.
+	awaitLimit = 300 * time.Millisecond
+	awaitPoll  = 5 * time.Millisecond
 	// maxRelays is the number of relays asked before control.
 	maxRelays = 2
 	// relayAge is the age of a confirmation from a relay up to which control
@@ -147,6 +150,20 @@
 	f.Wake()
 }
 
+// Await fetches a document index and waits a little until it is held. It
+// reports whether it is.
+func (f *Follower) Await(ctx context.Context, index uint64) bool {
+	f.Heard(index)
+	until := time.Now().Add(awaitLimit)
+	for f.Held().Index < index {
+		if ctx.Err() != nil || time.Now().After(until) {
+			return false
+		}
+		time.Sleep(awaitPoll)
+	}
+	return true
+}
+
 // Wake asks for a confirmation now.
 func (f *Follower) Wake() {
 	select {
--- a/internal/serve/budget/budget.go
+++ b/internal/serve/budget/budget.go
@@ -9,8 +9,9 @@
 	most    float64
 }
 
-// New returns a Budget that saves up to most extra calls and begins with one.
-func New(most float64) *Budget { return &Budget{balance: min(1, most), most: most} }
+// New returns a Budget that saves up to most extra calls and begins with all
+// of them, so that the first failures of a quiet system can be retried.
+func New(most float64) *Budget { return &Budget{balance: most, most: most} }
 
 // Earn adds the share of an ordinary call.
 func (b *Budget) Earn(share float64) {
--- a/internal/serve/once/runner.go
+++ b/internal/serve/once/runner.go
@@ -25,8 +25,8 @@
 	askTimeout = time.Second
 	// upstreamWait is how long a call waits for an upstream to appear.
 	upstreamWait = 2 * time.Second
-	// maxTargets is the greatest number of agents tried for a call.
-	maxTargets = 4
+	// maxTargets is the greatest number of attempts of a call.
+	maxTargets = 6
 )
 
 // Ledger commits commands and answers confirmed reads. control.Client is one;
@@ -53,6 +53,9 @@
 	Ledger Ledger
 	// Find returns the last known place of an agent.
 	Find func(name string) (Place, bool)
+	// Await fetches a document index that an agent has and this process does
+	// not, and waits a little for it.
+	Await func(ctx context.Context, index uint64) bool
 	// Alive reports whether the owner of a claim still runs.
 	Alive    func(owner string) bool
 	Timeline *timeline.Recorder
@@ -264,12 +267,15 @@
 		}
 		cost.ServiceUs += end.ServiceUs
 		cost.QueueUs += end.QueueUs
-		cost.Attempts = len(tried)
+		cost.Attempts++
 		cost.Upstream = u.Name
 		outcome := outcomeOf(end)
+		if behind := end.GetFailure().GetDocument(); behind > 0 && r.cfg.Await(ctx, behind) {
+			tried = tried[:len(tried)-1]
+		}
 		if outcome == statepb.Outcome_OUTCOME_NOT_RUN {
 			next, ok := r.pick(c, tried)
-			if ok && len(tried) < maxTargets && time.Now().Before(c.Deadline) {
+			if ok && int(claim.Target.Attempt) < maxTargets && time.Now().Before(c.Deadline) {
 				bound, err := r.rebind(ctx, c, claim, next)
 				if err != nil {
 					return cost, err
--- a/internal/serve/pipeline/stage.go
+++ b/internal/serve/pipeline/stage.go
@@ -297,7 +297,7 @@
 		if refusal := s.final(f); refusal != nil {
 			return refusal
 		}
-		s.x.cfg.Follower.Heard(f.Document)
+		s.x.cfg.Follower.Await(ctx, f.Document)
 	}
 	if s.count >= maxAttempts || !refusedOnly && !s.x.retries.Spend() {
 		return refuse.New(refuse.UpstreamFailed, s.ranSoFar(), fmt.Sprintf("stage %s failed on %d upstreams: %v", s.stage.Kind, s.count, cause), "try again").WithRetryAfter(time.Second)
