--- a/cmd/hawthornbench/demo.go
+++ b/cmd/hawthornbench/demo.go
@@ -86,8 +86,8 @@
 func printCosts(stages []pipeline.StageCost) {
 	fmt.Println("  cost by stage:")
 	for _, c := range stages {
-		fmt.Printf("    %-9s at %-18s upstream %6d us, queue %5d us, tokens %3d, attempts %d, wasted %d us\n",
-			c.Kind, c.Upstream, c.ServiceUs, c.QueueUs, c.Tokens, c.Attempts, c.WastedUs)
+		fmt.Printf("    %-9s at %-18s total %6d us, upstream %6d us, queue %5d us, tokens %3d, attempts %d, wasted %d us\n",
+			c.Kind, c.Upstream, c.TotalUs, c.ServiceUs, c.QueueUs, c.Tokens, c.Attempts, c.WastedUs)
 	}
 }
 
