--- a/cmd/hawthornbench/demo.go
+++ b/cmd/hawthornbench/demo.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
-	"os"
 	"strings"
 	"time"
 
@@ -28,24 +26,6 @@
 	}}
 }
 
-// inFleet runs do with a fleet in a temporary folder, which is kept where
-// something failed.
-func inFleet(spec fleetSpec, do func(*fleet) error) error {
-	dir, err := os.MkdirTemp("", "hawthornbench-")
-	if err != nil {
-		return err
-	}
-	f, err := startFleet(dir, spec)
-	if err != nil {
-		return fmt.Errorf("%w; logs are in %s", err, dir)
-	}
-	err = errors.Join(do(f), f.stop())
-	if err != nil {
-		return fmt.Errorf("%w; logs are in %s", err, dir)
-	}
-	return os.RemoveAll(dir)
-}
-
 func (f *fleet) entry(i int) string { return f.instances[f.entries[i%len(f.entries)]].http }
 
 func (f *fleet) control(i int) string { return f.instances[f.controls[i%len(f.controls)]].http }
--- a/internal/beside/agent/call.go
+++ b/internal/beside/agent/call.go
@@ -9,6 +9,7 @@
 	"hawthornhub.example/hawthornhub/internal/beside/upstream"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/state/ledger"
+	"hawthornhub.example/hawthornhub/internal/wire/failure"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 )
@@ -29,7 +30,7 @@
 	a.tell(&submitMsg{call: call, id: id, decide: decide, now: arrived})
 	d, ok := a.await(ctx, id, decide)
 	if !ok {
-		a.end(st, call, &fleetpb.CallEnd{Failure: refusal(KindCancelled, RanNo, "the call was withdrawn", "none")})
+		a.end(st, call, &fleetpb.CallEnd{Failure: failure.New(failure.Cancelled, failure.RanNo, "the call was withdrawn", "none")})
 		return
 	}
 	if d.failure != nil {
@@ -46,7 +47,7 @@
 // check refuses a call that is malformed or was made under another document.
 func (a *Agent) check(call *fleetpb.Call, document uint64) *fleetpb.Failure {
 	if call.GetId() == nil || call.Once && call.Key == "" {
-		return refusal(KindBadRequest, RanNo, "call without identity", "bring the processes to one version")
+		return failure.New(failure.BadRequest, failure.RanNo, "call without identity", "bring the processes to one version")
 	}
 	held := a.cfg.Follower.Held()
 	if document > held.Index {
@@ -55,13 +56,13 @@
 	}
 	switch {
 	case document != held.Index:
-		f := refusal(KindStale, RanNo, fmt.Sprintf("call under document %d, in force is %d", document, held.Index), "fetch the document and send the call again")
+		f := failure.New(failure.Stale, failure.RanNo, fmt.Sprintf("call under document %d, in force is %d", document, held.Index), "fetch the document and send the call again")
 		f.Document = held.Index
 		return f
 	case !held.Fresh(time.Now()):
-		return refusal(KindLapsed, RanNo, "the document is not confirmed", "wait until a quorum of control answers")
+		return failure.New(failure.Lapsed, failure.RanNo, "the document is not confirmed", "wait until a quorum of control answers")
 	case held.Schema.Insurer.Services[call.Kind].Stopped:
-		return refusal(KindStopped, RanNo, "the service is stopped by the insurer's conditions", "wait until it is released")
+		return failure.New(failure.Stopped, failure.RanNo, "the service is stopped by the insurer's conditions", "wait until it is released")
 	default:
 		return nil
 	}
@@ -134,13 +135,13 @@
 
 // failed fills the end of a call that the upstream did not finish.
 func (a *Agent) failed(ctx context.Context, d decision, r upstream.Request, err error, end *fleetpb.CallEnd) {
-	kind, ran, outcome := KindUpstream, RanUnknown, statepb.Outcome_OUTCOME_UNKNOWN
+	kind, ran, outcome := failure.Upstream, failure.RanUnknown, statepb.Outcome_OUTCOME_UNKNOWN
 	var run *upstream.RunError
 	if errors.As(err, &run) && !run.Started {
-		ran, outcome = RanNo, statepb.Outcome_OUTCOME_NOT_RUN
+		ran, outcome = failure.RanNo, statepb.Outcome_OUTCOME_NOT_RUN
 	}
 	if context.Cause(ctx) == errStall {
-		kind = KindStall
+		kind = failure.Stall
 	}
 	if ctx.Err() != nil {
 		c, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -150,7 +151,7 @@
 		}
 	}
 	end.Outcome = outcome
-	end.Failure = refusal(kind, ran, err.Error(), "see whether the upstream lives; a repeatable stage goes to another")
+	end.Failure = failure.New(kind, ran, err.Error(), "see whether the upstream lives; a repeatable stage goes to another")
 }
 
 func chunkOf(call *fleetpb.Call, l upstream.Line) *fleetpb.Envelope {
--- a/internal/beside/agent/core.go
+++ b/internal/beside/agent/core.go
@@ -10,34 +10,11 @@
 	"hawthornhub.example/hawthornhub/internal/beside/queue"
 	"hawthornhub.example/hawthornhub/internal/beside/upstream"
 	"hawthornhub.example/hawthornhub/internal/state/fence"
+	"hawthornhub.example/hawthornhub/internal/wire/failure"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 )
 
-// Kinds of Failure that an agent answers with.
-const (
-	KindLeaving     = "leaving"
-	KindNoUpstream  = "no_upstream"
-	KindDeadline    = "deadline"
-	KindStale       = "stale_document"
-	KindLapsed      = "document_lapsed"
-	KindBarred      = "barred"
-	KindRepeat      = "repeated_attempt"
-	KindIncarnation = "other_incarnation"
-	KindUpstream    = "upstream_lost"
-	KindStopped     = "service_stopped"
-	KindCancelled   = "cancelled"
-	KindStall       = "upstream_stalled"
-	KindBadRequest  = "bad_request"
-)
-
-// Values of a Failure's ran field.
-const (
-	RanNo      = "no"
-	RanYes     = "yes"
-	RanUnknown = "unknown"
-)
-
 // meanShare is the weight of a new observation in a mean service time.
 const meanShare = 0.1
 
@@ -148,10 +125,6 @@
 
 func (c *core) now() int64 { return time.Since(c.start).Microseconds() }
 
-func refusal(kind, ran, detail, remedy string) *fleetpb.Failure {
-	return &fleetpb.Failure{Kind: kind, Ran: ran, Detail: detail, Remedy: remedy}
-}
-
 func idOf(call *fleetpb.Call) gate.ID {
 	return gate.ID{Account: call.Account, Key: call.Key, Attempt: call.Id.GetAttempt()}
 }
@@ -195,10 +168,10 @@
 
 func (c *core) unable() *fleetpb.Failure {
 	if c.leaving {
-		return refusal(KindLeaving, RanNo, "the upstream is leaving", "use another upstream")
+		return failure.New(failure.Leaving, failure.RanNo, "the upstream is leaving", "use another upstream")
 	}
 	if c.client == nil {
-		return refusal(KindNoUpstream, RanNo, "no upstream has announced itself", "use another upstream")
+		return failure.New(failure.NoUpstream, failure.RanNo, "no upstream has announced itself", "use another upstream")
 	}
 	return nil
 }
@@ -209,12 +182,12 @@
 	case nil:
 		return nil
 	case *gate.IncarnationError:
-		return refusal(KindIncarnation, RanNo, err.Error(), "bind the claim to a present agent")
+		return failure.New(failure.Incarnation, failure.RanNo, err.Error(), "bind the claim to a present agent")
 	case *gate.RepeatError:
 		if err.Attempt.State == gate.Barred {
-			return refusal(KindBarred, RanNo, "the attempt was barred", "read the claim from the ledger")
+			return failure.New(failure.Barred, failure.RanNo, "the attempt was barred", "read the claim from the ledger")
 		}
-		return refusal(KindRepeat, RanUnknown, err.Error(), "ask for the outcome")
+		return failure.New(failure.Repeat, failure.RanUnknown, err.Error(), "ask for the outcome")
 	default:
 		panic(fmt.Sprintf("agent: unhandled gate error %T", err))
 	}
@@ -246,11 +219,11 @@
 		return
 	}
 	if now >= item.DeadlineUs {
-		c.reject(item.ID, w, refusal(KindDeadline, RanNo, "the deadline passed in the queue", "send a later deadline or less work"))
+		c.reject(item.ID, w, failure.New(failure.Deadline, failure.RanNo, "the deadline passed in the queue", "send a later deadline or less work"))
 		return
 	}
 	if w.call.Once && !c.gate.Start(idOf(w.call)) {
-		c.reject(item.ID, w, refusal(KindBarred, RanNo, "the attempt was barred while it waited", "read the claim from the ledger"))
+		c.reject(item.ID, w, failure.New(failure.Barred, failure.RanNo, "the attempt was barred while it waited", "read the claim from the ledger"))
 		return
 	}
 	w.runs = true
@@ -353,7 +326,7 @@
 		if w.call.Once {
 			c.gate.Bar(idOf(w.call))
 		}
-		w.decide <- decision{failure: refusal(KindLeaving, RanNo, "the upstream is leaving", "use another upstream")}
+		w.decide <- decision{failure: failure.New(failure.Leaving, failure.RanNo, "the upstream is leaving", "use another upstream")}
 	}
 }
 
--- a/internal/beside/gate/gate_test.go
+++ b/internal/beside/gate/gate_test.go
@@ -2,27 +2,19 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"hawthornhub.example/hawthornhub/internal/bench/seed"
 	"hawthornhub.example/hawthornhub/internal/state/ledger"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 )
 
-// TestMain fixes the seed unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed.
+func TestMain(m *testing.M) { os.Exit(seed.Run(m)) }
 
 // agentSim is an agent with its gate and the attempts it has started.
 type agentSim struct {
--- a/internal/beside/queue/queue_test.go
+++ b/internal/beside/queue/queue_test.go
@@ -1,11 +1,17 @@
 package queue
 
 import (
+	"os"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"hawthornhub.example/hawthornhub/internal/bench/seed"
 )
 
+// TestMain fixes the seed.
+func TestMain(m *testing.M) { os.Exit(seed.Run(m)) }
+
 func TestLongWorkDoesNotBlockShort(t *testing.T) {
 	q := New(Config{Slots: 4, LongShare: 0.5})
 	for i := range uint64(6) {
--- a/internal/fleet/control/client.go
+++ b/internal/fleet/control/client.go
@@ -20,12 +20,6 @@
 	pause = 40 * time.Millisecond
 )
 
-// Kinds of Failure that control instances answer with.
-const (
-	KindNotLeader = "not_leader"
-	KindDropped   = "dropped"
-)
-
 // Address is a control instance.
 type Address struct{ Name, Link string }
 
--- a/internal/fleet/replica/serve.go
+++ b/internal/fleet/replica/serve.go
@@ -11,6 +11,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/state/machine"
 	"hawthornhub.example/hawthornhub/internal/state/quorum"
+	"hawthornhub.example/hawthornhub/internal/wire/failure"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
 
@@ -96,10 +97,10 @@
 
 // fail answers with a typed failure.
 func (r *Replica) fail(st *link.Stream, err error) {
-	f := &fleetpb.Failure{Kind: control.KindDropped, Detail: err.Error(), Remedy: "send it again"}
+	f := &fleetpb.Failure{Kind: failure.Dropped, Detail: err.Error(), Remedy: "send it again"}
 	var notLeader *NotLeaderError
 	if errors.As(err, &notLeader) {
-		f = &fleetpb.Failure{Kind: control.KindNotLeader, Detail: err.Error(), Remedy: "ask the leader", Leader: notLeader.Leader}
+		f = &fleetpb.Failure{Kind: failure.NotLeader, Detail: err.Error(), Remedy: "ask the leader", Leader: notLeader.Leader}
 	}
 	_ = st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_Failure{Failure: f}})
 }
--- a/internal/serve/once/runner.go
+++ b/internal/serve/once/runner.go
@@ -11,6 +11,7 @@
 	"hawthornhub.example/hawthornhub/internal/serve/route"
 	"hawthornhub.example/hawthornhub/internal/state/document"
 	"hawthornhub.example/hawthornhub/internal/state/ledger"
+	"hawthornhub.example/hawthornhub/internal/wire/failure"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 )
@@ -298,7 +299,7 @@
 	switch {
 	case end.Failure == nil && end.Outcome == statepb.Outcome_OUTCOME_DONE:
 		return statepb.Outcome_OUTCOME_DONE
-	case end.Failure != nil && end.Failure.Ran == string(refuse.RanNo):
+	case end.Failure != nil && end.Failure.Ran == failure.RanNo:
 		return statepb.Outcome_OUTCOME_NOT_RUN
 	default:
 		return statepb.Outcome_OUTCOME_UNKNOWN
@@ -344,7 +345,7 @@
 func neverSent(err error) *fleetpb.CallEnd {
 	return &fleetpb.CallEnd{
 		Outcome: statepb.Outcome_OUTCOME_NOT_RUN,
-		Failure: &fleetpb.Failure{Kind: "unreachable", Ran: string(refuse.RanNo), Detail: err.Error()},
+		Failure: failure.New(failure.Unreachable, failure.RanNo, err.Error(), "use another upstream"),
 	}
 }
 
--- a/internal/serve/pipeline/stage.go
+++ b/internal/serve/pipeline/stage.go
@@ -11,6 +11,7 @@
 	"hawthornhub.example/hawthornhub/internal/serve/refuse"
 	"hawthornhub.example/hawthornhub/internal/serve/route"
 	"hawthornhub.example/hawthornhub/internal/state/document"
+	"hawthornhub.example/hawthornhub/internal/wire/failure"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
 
@@ -59,7 +60,7 @@
 	s.cost.Kind, s.cost.Model = s.stage.Kind, s.stage.Model
 	s.x.retries.Earn(s.schema.Routing.RetryBudget)
 	s.x.hedges.Earn(s.schema.Routing.HedgeBudget)
-	if err := s.launch(ctx, false); err != nil {
+	if err := s.launch(ctx); err != nil {
 		return nil, err
 	}
 	hedge := time.NewTimer(s.hedgeDelay())
@@ -103,35 +104,31 @@
 	return max(hedgeLeast, time.Duration(us)*time.Microsecond)
 }
 
-// tryHedge starts a second attempt where none has shown progress and the
-// budget allows it.
+// tryHedge starts a second attempt where none has shown progress, another
+// upstream has a free slot, and the budget allows it. Where all are full, a
+// hedge would only take the place of other work.
 func (s *stageRun) tryHedge(ctx context.Context) {
 	if s.hedged || len(s.active) != 1 || s.active[0].next > s.active[0].first {
 		return
 	}
-	if _, n := s.x.cfg.Table.Slots(time.Now(), s.group()); n < 2 || !s.x.hedges.Spend() {
+	u, ok := s.pick()
+	if !ok || !s.x.cfg.Table.Free(u) || !s.x.hedges.Spend() {
 		return
 	}
 	s.hedged = true
 	s.cost.Hedges++
 	s.x.note("hedge", s.request, fmt.Sprintf("stage %d after %v", s.index, time.Since(s.started).Round(time.Microsecond)))
-	if err := s.launch(ctx, true); err != nil {
-		s.x.note("hedge_failed", s.request, err.Error())
-	}
+	s.begin(ctx, u, true)
 }
 
 // launch places an attempt on an upstream that has not been tried, or on any
-// where all have been.
-func (s *stageRun) launch(ctx context.Context, hedge bool) error {
+// where all have been, and waits for one to appear.
+func (s *stageRun) launch(ctx context.Context) error {
 	for {
-		u, ok := s.pick()
-		if ok {
-			s.begin(ctx, u, hedge)
+		if u, ok := s.pick(); ok {
+			s.begin(ctx, u, false)
 			return nil
 		}
-		if hedge || ctx.Err() != nil {
-			return s.noUpstream()
-		}
 		select {
 		case <-ctx.Done():
 			return s.noUpstream()
@@ -282,8 +279,8 @@
 // failed ends an attempt and starts another, if the time and the budget allow
 // and no other attempt is running.
 func (s *stageRun) failed(ctx context.Context, a *attempt, f *fleetpb.Failure, w *fleetpb.Word, cause error) error {
-	refusedOnly := f != nil && f.Ran == string(refuse.RanNo)
-	s.x.cfg.Table.End(time.Now(), a.placed, route.Ended{Word: w, Failed: !refusedOnly || f.Kind == "leaving" || f.Kind == "no_upstream"})
+	refusedOnly := f != nil && f.Ran == failure.RanNo
+	s.x.cfg.Table.End(time.Now(), a.placed, route.Ended{Word: w, Failed: !refusedOnly || f.Kind == failure.Leaving || f.Kind == failure.NoUpstream})
 	s.drop(a)
 	s.lastErr = cause
 	if !refusedOnly {
@@ -302,15 +299,15 @@
 	if s.count >= maxAttempts || !refusedOnly && !s.x.retries.Spend() {
 		return refuse.New(refuse.UpstreamFailed, s.ranSoFar(), fmt.Sprintf("stage %s failed on %d upstreams: %v", s.stage.Kind, s.count, cause), "try again").WithRetryAfter(time.Second)
 	}
-	return s.launch(ctx, false)
+	return s.launch(ctx)
 }
 
 // final returns the refusal where another upstream would refuse as well.
 func (s *stageRun) final(f *fleetpb.Failure) error {
 	switch f.Kind {
-	case "deadline":
+	case failure.Deadline:
 		return refuse.New(refuse.Deadline, s.ranSoFar(), f.Detail, f.Remedy)
-	case "service_stopped":
+	case failure.Stopped:
 		return refuse.New(refuse.Condition, s.ranSoFar(), f.Detail, f.Remedy)
 	default:
 		return nil
--- a/internal/serve/route/pick.go
+++ b/internal/serve/route/pick.go
@@ -114,6 +114,14 @@
 	return late
 }
 
+// Free reports whether an upstream is believed to have a free slot.
+func (t *Table) Free(u Upstream) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.states[u.Name]
+	return s != nil && s.load(time.Now()) < float64(s.Slots)
+}
+
 // Slots returns the number of slots of a pool, weighed by how slow each
 // upstream is, and the number of its upstreams.
 func (t *Table) Slots(now time.Time, g Group) (slots float64, upstreams int) {
--- a/internal/serve/route/table.go
+++ b/internal/serve/route/table.go
@@ -69,7 +69,18 @@
 	id       uint64
 	began    time.Time
 	expectUs float64
-	size     float64
+	// waitUs is the time that the call was expected to wait for a slot.
+	waitUs float64
+	size   float64
+}
+
+// lateness is how many times its expected time the call has taken so far, its
+// expected wait included: a queue does not make an upstream slow.
+func (c Call) lateness(now time.Time) float64 {
+	if c.expectUs <= 0 {
+		return 0
+	}
+	return float64(now.Sub(c.began).Microseconds()) / (c.expectUs + c.waitUs)
 }
 
 // Ended tells how a call ended.
@@ -227,6 +238,7 @@
 		size:     need.Size,
 	}
 	if s := t.states[u.Name]; s != nil {
+		c.waitUs = s.waitUs(now, c.expectUs)
 		s.calls[c.id] = c
 		s.since++
 	}
@@ -287,10 +299,7 @@
 // have taken. Without it a slow upstream whose calls are always hedged would
 // never be seen to be slow.
 func (s *state) observeOutrun(now time.Time, c Call) {
-	if c.expectUs <= 0 {
-		return
-	}
-	ratio := float64(now.Sub(c.began).Microseconds()) / c.expectUs
+	ratio := c.lateness(now)
 	if ratio > overdue && ratio > s.slowness(now) {
 		s.slow, s.slowAt = min(slowMost, ratio), now
 	}
@@ -313,11 +322,7 @@
 func (s *state) overdueness(now time.Time) float64 {
 	most := 0.0
 	for _, c := range s.calls {
-		if c.expectUs <= 0 {
-			continue
-		}
-		ratio := float64(now.Sub(c.began).Microseconds()) / c.expectUs
-		if ratio > overdue {
+		if ratio := c.lateness(now); ratio > overdue {
 			most = max(most, ratio)
 		}
 	}
@@ -353,12 +358,7 @@
 func (s *state) finishUs(now time.Time, zone string, serviceUs float64) float64 {
 	slots := max(1, float64(s.Slots))
 	wait := s.waitUs(now, serviceUs)
-	slow := s.slowness(now)
-	if s.load(now) >= slots {
-		slow = max(slow, s.overdueness(now)/2)
-	} else {
-		slow = max(slow, s.overdueness(now))
-	}
+	slow := max(s.slowness(now), s.overdueness(now))
 	us := (wait + serviceUs) * slow
 	us += leanShare * serviceUs * s.load(now) / slots
 	if s.Zone != zone {
--- a/internal/state/document/book_test.go
+++ b/internal/state/document/book_test.go
@@ -1,7 +1,6 @@
 package document
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"strings"
@@ -10,19 +9,12 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"hawthornhub.example/hawthornhub/internal/bench/seed"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 )
 
-// TestMain fixes the seed unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed.
+func TestMain(m *testing.M) { os.Exit(seed.Run(m)) }
 
 const hash = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
 
--- a/internal/state/quorum/cluster_test.go
+++ b/internal/state/quorum/cluster_test.go
@@ -1,7 +1,6 @@
 package quorum
 
 import (
-	"flag"
 	"fmt"
 	"hash/fnv"
 	"os"
@@ -10,20 +9,12 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"hawthornhub.example/hawthornhub/internal/bench/seed"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 )
 
-// TestMain fixes the seed unless one is given, so that every run of the suite
-// gives the same verdict. Long runs: -rapid.checks=N -rapid.seed=0.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed.
+func TestMain(m *testing.M) { os.Exit(seed.Run(m)) }
 
 // electionTicks is short, so that elections are frequent.
 const electionTicks = 3
