state/ledger, serve/once: a result over 64 KiB is not lost silently

Found on reading: the ledger dropped such a result without a word, and the caller was told done with an empty answer. The caller whose call ran it now gets it whole, and later ones are told that it was done and not kept. TestOversizedResultIsNotLostSilently.

--- a/internal/beside/agent/call.go
+++ b/internal/beside/agent/call.go
@@ -119,8 +119,8 @@
 	if err != nil {
 		a.failed(ctx, d, r, err, end)
 	}
-	if call.Once && len(kept) > ledger.MaxResultBytes {
-		kept = kept[:ledger.MaxResultBytes]
+	if len(kept) > ledger.MaxResultBytes {
+		kept = kept[:ledger.MaxResultBytes+1]
 	}
 	a.tell(&finishMsg{id: id, outcome: end.Outcome, result: kept, service: took, size: call.Size})
 	return end
--- a/internal/serve/once/runner.go
+++ b/internal/serve/once/runner.go
@@ -245,6 +245,10 @@
 func resultOf(claim *statepb.ClaimState) (Result, error) {
 	switch claim.Outcome {
 	case statepb.Outcome_OUTCOME_DONE:
+		if claim.Oversized {
+			return Result{}, refuse.New(refuse.TooLarge, refuse.RanYes, fmt.Sprintf("the call was done; its result is over %d bytes and was not kept", ledger.MaxResultBytes),
+				"look the result up with the service itself")
+		}
 		return Result{Output: claim.Result, Upstream: claim.Target.GetAgent(), Attempts: int(claim.Target.GetAttempt())}, nil
 	case statepb.Outcome_OUTCOME_NOT_RUN:
 		return Result{}, refuse.New(refuse.UpstreamFailed, refuse.RanNo, "no upstream took the call", "send the call again")
@@ -289,6 +293,10 @@
 		if err != nil {
 			return cost, err
 		}
+		if settled.Oversized && outcome == statepb.Outcome_OUTCOME_DONE {
+			cost.Output = output
+			return cost, nil
+		}
 		result, err := resultOf(settled)
 		result.ServiceUs, result.QueueUs, result.Attempts = cost.ServiceUs, cost.QueueUs, cost.Attempts
 		return result, err
--- a/internal/serve/once/runner_test.go
+++ b/internal/serve/once/runner_test.go
@@ -14,6 +14,7 @@
 	"hawthornhub.example/hawthornhub/internal/serve/refuse"
 	"hawthornhub.example/hawthornhub/internal/serve/route"
 	"hawthornhub.example/hawthornhub/internal/state/document"
+	"hawthornhub.example/hawthornhub/internal/state/ledger"
 	"hawthornhub.example/hawthornhub/internal/state/machine"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
@@ -133,12 +134,16 @@
 		a.gate = gate.New(gate.Config{Incarnation: a.incarnation})
 		return
 	}
-	a.gate.Finish(id, statepb.Outcome_OUTCOME_DONE, []byte("van 7"))
+	output := []byte("van 7")
+	if a.step == "large result" {
+		output = make([]byte, ledger.MaxResultBytes+7)
+	}
+	a.gate.Finish(id, statepb.Outcome_OUTCOME_DONE, output)
 	if a.step == "answer lost" {
 		return
 	}
 	_ = st.Send(
-		&fleetpb.Envelope{Body: &fleetpb.Envelope_Chunk{Chunk: &fleetpb.Chunk{Id: call.Id, Data: []byte("van 7")}}},
+		&fleetpb.Envelope{Body: &fleetpb.Envelope_Chunk{Chunk: &fleetpb.Chunk{Id: call.Id, Data: output}}},
 		&fleetpb.Envelope{Body: &fleetpb.Envelope_CallEnd{CallEnd: end}},
 	)
 }
@@ -255,6 +260,26 @@
 	}
 }
 
+// A result that is too large for the ledger reaches the caller whose call ran
+// it; later ones are told that it was done and not kept.
+func TestOversizedResultIsNotLostSilently(t *testing.T) {
+	b := newBed(t, "large result")
+	key := fmt.Sprintf("%d-k", time.Now().UnixMilli())
+	result, err := b.runner("e1/1", false).Run(context.Background(), testCall(key))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := len(result.Output), ledger.MaxResultBytes+7; got != want {
+		t.Errorf("%d bytes, want %d", got, want)
+	}
+	call := testCall(key)
+	call.Request = "another"
+	_, err = b.runner("e2/1", false).Run(context.Background(), call)
+	if got, want := word(err), "yes too_large"; got != want {
+		t.Errorf("again told %q, want %q", got, want)
+	}
+}
+
 // A frozen entry that wakes after its claim was settled meets the bar.
 func TestThawedEntryMeetsTheBar(t *testing.T) {
 	b := newBed(t, "")
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -126,7 +126,8 @@
 	return &statepb.Result{Kind: statepb.ResultKind_RESULT_KIND_OK, Claim: clone(next)}
 }
 
-// Resolve records the outcome of an attempt. A recorded outcome stands.
+// Resolve records the outcome of an attempt. A recorded outcome stands. A
+// result over MaxResultBytes is not kept, and the claim says so.
 func (l *Ledger) Resolve(r *statepb.Resolve) *statepb.Result {
 	have := l.claims[ID{r.Account, r.Key}]
 	if have == nil {
@@ -137,7 +138,8 @@
 	}
 	next := clone(have)
 	next.Outcome = r.Outcome
-	if len(r.Result) <= MaxResultBytes {
+	next.Oversized = len(r.Result) > MaxResultBytes
+	if !next.Oversized {
 		next.Result = r.Result
 	}
 	l.claims[ID{r.Account, r.Key}] = next
