serve/estimate, serve/route, cmd/hawthornhub: do not refuse sizes that were never seen

The hang-up test began to fail behind a test that sends 300 requests of one token: a request of 3000 tokens was refused as overload, for good. With samples of one size the prediction was in proportion to the size, 36 s for 6; refused, it would never have been measured.

A control instance was ready before it knew the others, and answered an order with 'no process'; it now waits as entries do.

--- a/cmd/hawthornbench/contract_test.go
+++ b/cmd/hawthornbench/contract_test.go
@@ -47,6 +47,8 @@
 	t.Run("bad requests change nothing", func(t *testing.T) { testBadRequests(t, f) })
 	t.Run("one key through two entries", func(t *testing.T) { testOneKey(t, f) })
 	t.Run("equal bases race", func(t *testing.T) { testEditRace(t, f) })
+	t.Run("edit resent over a leader's death", func(t *testing.T) { testEditOverLeader(t, f) })
+	t.Run("limit holds over all entries", func(t *testing.T) { testLimit(t, f) })
 	t.Run("orders are fenced", func(t *testing.T) { testOrders(t, f) })
 	t.Run("hang-up cancels down to the upstream", func(t *testing.T) { testHangUp(t, f) })
 	t.Run("stream survives its upstream", func(t *testing.T) { testStreamFailover(t, f) })
@@ -210,6 +212,83 @@
 	}
 }
 
+// testEditOverLeader sends an edit while the leader is killed, and the same id
+// again until it is answered: one outcome, and the document agrees with it.
+func testEditOverLeader(t *testing.T, f *fleet) {
+	for round := range 3 {
+		if err := chooseRoles(f); err != nil {
+			t.Fatal(err)
+		}
+		was := f.section(t, "upstreams")
+		edit := operator.Edit{
+			ID: newKey(), Base: was.Version, Section: "upstreams",
+			Text: "[upstreams]\nlong_tokens = 30" + string(rune('0'+round)) + "\nlong_share = 0.5\n",
+		}
+		at := f.instances[roleNames["follower"]].http
+		first := make(chan operator.Outcome, 1)
+		go func() {
+			var out operator.Outcome
+			_, _ = operate(at, http.MethodPost, "/v1/edits", edit, &out)
+			first <- out
+		}()
+		if err := f.kill(roleNames["leader"]); err != nil {
+			t.Fatal(err)
+		}
+		told := []operator.Outcome{<-first}
+		f.await(t, "the edit is answered again", func() bool {
+			var out operator.Outcome
+			if _, err := operate(at, http.MethodPost, "/v1/edits", edit, &out); err != nil || out.Result == "" {
+				return false
+			}
+			told = append(told, out)
+			return len(told) > 2
+		})
+		for _, out := range told {
+			if out.Result != "" && out != told[len(told)-1] {
+				t.Errorf("one edit id got %+v and %+v", out, told[len(told)-1])
+			}
+		}
+		if err := f.start(roleNames["leader"]); err != nil {
+			t.Fatal(err)
+		}
+		if err := f.waitReady(); err != nil {
+			t.Fatal(err)
+		}
+		now := f.section(t, "upstreams")
+		if got, want := now.Text == edit.Text, told[len(told)-1].Result == "ok"; got != want {
+			t.Errorf("edit in the document %v, told it is %v", got, want)
+		}
+	}
+}
+
+// testLimit sends more than an account may, through both entries at once.
+func testLimit(t *testing.T, f *fleet) {
+	const requests = 300
+	began := time.Now()
+	kinds := make(chan string, requests)
+	for i := range requests {
+		go func() {
+			r, err := call(context.Background(), ask{entry: f.entry(i), account: "tight", pipeline: "check", body: caller.Body{Input: "x", Tokens: 1}})
+			if err != nil {
+				kinds <- err.Error()
+				return
+			}
+			kinds <- r.refusal.Kind
+		}()
+	}
+	counts := make(map[string]int)
+	for range requests {
+		counts[<-kinds]++
+	}
+	windows := int(time.Since(began)/(5*time.Second)) + 2
+	if got, most := counts[""], 50*windows; got > most || got == 0 {
+		t.Errorf("%d requests served in at most %d windows of 50", got, windows)
+	}
+	if counts["over_limit"] == 0 {
+		t.Errorf("nothing refused as over the limit: %v", counts)
+	}
+}
+
 func testOrders(t *testing.T, f *fleet) {
 	for _, upstream := range []string{"pattern-1", "booking-1"} {
 		var last uint64
--- a/cmd/hawthornbench/scene.go
+++ b/cmd/hawthornbench/scene.go
@@ -36,6 +36,11 @@
 rate = 100000
 weight = 1
 
+[accounts.tight]
+key_sha256 = %[1]q
+rate = 10
+weight = 1
+
 [insurer]
 max_document_age_ms = 5000
 
--- a/cmd/hawthornhub/control.go
+++ b/cmd/hawthornhub/control.go
@@ -45,7 +45,9 @@
 	platform *platform.Platform
 	replica  atomic.Pointer[replica.Replica]
 	// ready is closed once replica is set.
-	ready   chan struct{}
+	ready chan struct{}
+	// alone is set where the settings list no other control instance.
+	alone   bool
 	sweeper *sweep.Sweeper
 	http    *http.Server
 }
@@ -79,6 +81,7 @@
 	c := &controller{
 		platform: platform.New(platform.Config{Role: "control", Process: s.Name}),
 		ready:    make(chan struct{}),
+		alone:    len(s.Control) == 1,
 	}
 	var err error
 	c.process, err = process.Start(process.Config{
@@ -163,6 +166,9 @@
 	if r == nil || r.View().Leader == 0 {
 		return errors.New("no leader")
 	}
+	if !c.alone && !c.process.Synced() {
+		return errors.New("the other processes are not known yet")
+	}
 	return nil
 }
 
--- a/internal/serve/estimate/line.go
+++ b/internal/serve/estimate/line.go
@@ -6,11 +6,14 @@
 	// leastWeight is the weight of samples below which a Line only knows the
 	// mean.
 	leastWeight = 8
+	// leastSpread is the share of the squared sizes that must differ from their
+	// mean before a slope is taken from them.
+	leastSpread = 1e-3
 )
 
 // Line is a weighted least-squares line through samples of size and time. The
 // zero Line predicts 0. It is immutable.
-type Line struct{ w, x, y, xx, xy float64 }
+type Line struct{ w, x, y, xx, xy, most float64 }
 
 // WithSample returns the Line after a sample; older ones lose weight.
 func (l Line) WithSample(size, us float64) Line {
@@ -20,21 +23,34 @@
 		y:  l.y*keep + us,
 		xx: l.xx*keep + size*size,
 		xy: l.xy*keep + size*us,
+
+		most: max(l.most, size),
 	}
 }
 
+// farther is how many times the largest size seen a size may be for its
+// prediction to count as knowledge.
+const farther = 4
+
+// Knows reports whether the prediction for a size rests on samples of like
+// sizes.
+func (l Line) Knows(size float64) bool { return l.w > 0 && size <= farther*l.most }
+
 // Known reports whether there were any samples.
 func (l Line) Known() bool { return l.w > 0 }
 
-// Predict returns the expected time in microseconds for a size.
+// Predict returns the expected time in microseconds for a size. While the
+// samples are few or of one size it is their mean: a guess too low is corrected
+// by the next call, but one too high could refuse the calls that would correct
+// it.
 func (l Line) Predict(size float64) float64 {
 	if l.w == 0 {
 		return 0
 	}
 	mean := l.y / l.w
 	spread := l.xx - l.x*l.x/l.w
-	if l.w < leastWeight || spread < 1e-6*(l.xx+1) {
-		return l.proportional(size, mean)
+	if l.w < leastWeight || spread < leastSpread*(l.xx+1) {
+		return mean
 	}
 	slope := (l.xy - l.x*l.y/l.w) / spread
 	if slope < 0 {
@@ -44,15 +60,6 @@
 	return max(base+slope*size, mean/100)
 }
 
-// proportional scales the mean with the size while the samples do not spread.
-func (l Line) proportional(size, mean float64) float64 {
-	average := l.x / l.w
-	if average <= 0 || size <= average {
-		return mean
-	}
-	return mean * size / average
-}
-
 // Quantile follows a quantile of a series by small steps. The zero value
 // starts at the first sample. It is immutable.
 type Quantile struct{ value float64 }
--- a/internal/serve/route/pick.go
+++ b/internal/serve/route/pick.go
@@ -103,10 +103,11 @@
 func (t *Table) HedgeAfter(u Upstream, size float64) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	service := t.lines[u.Group].Predict(size)
-	if service == 0 {
+	line := t.lines[u.Group]
+	if !line.Knows(size) {
 		return 0
 	}
+	service := line.Predict(size)
 	late := service * max(hedgeLeast, t.ratios[u.Group].Value())
 	if s := t.states[u.Name]; s != nil {
 		late += s.waitUs(time.Now(), service)
--- a/internal/serve/route/table.go
+++ b/internal/serve/route/table.go
@@ -68,6 +68,7 @@
 	Upstream Upstream
 	id       uint64
 	began    time.Time
+	// expectUs is the expected service time, 0 where it is not known.
 	expectUs float64
 	// waitUs is the time that the call was expected to wait for a slot.
 	waitUs float64
@@ -234,9 +235,11 @@
 		Upstream: u,
 		id:       t.nextID,
 		began:    now,
-		expectUs: t.lines[u.Group].Predict(need.Size),
 		size:     need.Size,
 	}
+	if line := t.lines[u.Group]; line.Knows(need.Size) {
+		c.expectUs = line.Predict(need.Size)
+	}
 	if s := t.states[u.Name]; s != nil {
 		c.waitUs = s.waitUs(now, c.expectUs)
 		s.calls[c.id] = c
