beside/agent: check the conditions again when a call leaves the queue

Found on reading: freshness and the insurer's stop were checked when a call arrived, before a wait that may be long or a freeze; they are now checked again just before it begins. A once-only call refused on arrival is barred as one refused in the queue is.

--- a/internal/beside/agent/call.go
+++ b/internal/beside/agent/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hawthornhub.example/hawthornhub/internal/beside/upstream"
+	"hawthornhub.example/hawthornhub/internal/fleet/control"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/state/ledger"
 	"hawthornhub.example/hawthornhub/internal/wire/failure"
@@ -19,6 +20,9 @@
 	call := first.GetCall()
 	arrived := time.Now()
 	if f := a.check(call, first.Document); f != nil {
+		if call.GetOnce() {
+			a.Ask(queryOf(call))
+		}
 		a.end(st, call, &fleetpb.CallEnd{Failure: f})
 		return
 	}
@@ -54,11 +58,19 @@
 		a.cfg.Follower.Await(a.ctx, document)
 		held = a.cfg.Follower.Held()
 	}
-	switch {
-	case document != held.Index:
+	if document != held.Index {
 		f := failure.New(failure.Stale, failure.RanNo, fmt.Sprintf("call under document %d, in force is %d", document, held.Index), "fetch the document and send the call again")
 		f.Document = held.Index
 		return f
+	}
+	return conditions(held, call)
+}
+
+// conditions refuses a call that may not begin now. It is asked when the call
+// arrives and again when it leaves the queue, as the wait between may have been
+// long, or the process frozen.
+func conditions(held *control.Held, call *fleetpb.Call) *fleetpb.Failure {
+	switch {
 	case !held.Fresh(time.Now()):
 		return failure.New(failure.Lapsed, failure.RanNo, "the document is not confirmed", "wait until a quorum of control answers")
 	case held.Schema.Insurer.Services[call.Kind].Stopped:
@@ -169,6 +181,17 @@
 	}
 }
 
+// queryOf asks for a call's own attempt, which bars it.
+func queryOf(call *fleetpb.Call) *fleetpb.Query {
+	return &fleetpb.Query{
+		Account:     call.Account,
+		Key:         call.Key,
+		Attempt:     call.GetId().GetAttempt(),
+		Incarnation: call.Incarnation,
+		ClaimIndex:  call.ClaimIndex,
+	}
+}
+
 func request(call *fleetpb.Call) upstream.Request {
 	return upstream.Request{
 		ID:      fmt.Sprintf("%s/%d/%d", call.Id.Request, call.Id.Stage, call.Id.Attempt),
--- a/internal/beside/agent/core.go
+++ b/internal/beside/agent/core.go
@@ -222,6 +222,10 @@
 		c.reject(item.ID, w, failure.New(failure.Deadline, failure.RanNo, "the deadline passed in the queue", "send a later deadline or less work"))
 		return
 	}
+	if f := conditions(c.agent.cfg.Follower.Held(), w.call); f != nil {
+		c.reject(item.ID, w, f)
+		return
+	}
 	if w.call.Once && !c.gate.Start(idOf(w.call)) {
 		c.reject(item.ID, w, failure.New(failure.Barred, failure.RanNo, "the attempt was barred while it waited", "read the claim from the ledger"))
 		return
--- a/internal/fleet/replica/host.go
+++ b/internal/fleet/replica/host.go
@@ -8,7 +8,6 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"go.uber.org/zap"
 
-	"hawthornhub.example/hawthornhub/internal/fleet/control"
 	"hawthornhub.example/hawthornhub/internal/state/disk"
 	"hawthornhub.example/hawthornhub/internal/state/machine"
 	"hawthornhub.example/hawthornhub/internal/state/quorum"
@@ -306,6 +305,7 @@
 	}
 	state, err := m.Snapshot()
 	if err != nil {
+		h.broken = true
 		h.cfg.Fatal(err)
 		return
 	}
@@ -370,8 +370,7 @@
 	if state.Role == quorum.Leader {
 		next.Confirmed = h.confirmed
 	}
-	var document *control.Held = &next
-	h.replica.held.Store(document)
+	h.replica.held.Store(&next)
 }
 
 func (h *host) stop() {
--- a/internal/serve/pipeline/stage.go
+++ b/internal/serve/pipeline/stage.go
@@ -37,15 +37,14 @@
 	emit    func(seq uint32, data []byte) error
 	started time.Time
 
-	events  chan event
-	active  []*attempt
-	tried   []string
-	count   int
-	hedged  bool
-	next    uint32
-	output  []byte
-	cost    StageCost
-	lastErr error
+	events chan event
+	active []*attempt
+	tried  []string
+	count  int
+	hedged bool
+	next   uint32
+	output []byte
+	cost   StageCost
 }
 
 func (s *stageRun) group() route.Group { return groupOf(s.stage) }
@@ -282,7 +281,6 @@
 	refusedOnly := f != nil && f.Ran == failure.RanNo
 	s.x.cfg.Table.End(time.Now(), a.placed, route.Ended{Word: w, Failed: !refusedOnly || f.Kind == failure.Leaving || f.Kind == failure.NoUpstream})
 	s.drop(a)
-	s.lastErr = cause
 	if !refusedOnly {
 		s.cost.WastedUs += time.Since(a.began).Microseconds()
 	}
