hawthornbench, fleet, route: one loop for usage, and no code that nothing calls

Found on reading the change: the loop that reads processes' usage stood in three commands and now stands once; Pool.Drop and Sessions, Gate.Running, Process.Traffic, the replica's count of applied commands and its Changed hook, and the number of upstreams beside a pool's slots had no caller. Behaviour and tests are unchanged.

--- a/cmd/hawthornbench/path.go
+++ b/cmd/hawthornbench/path.go
@@ -41,14 +41,10 @@
 }
 
 func runPath(f *fleet, calls, seconds, callers int) error {
-	idle := make(map[string]usage)
 	roles := []string{"entry-1", "encode-1", "control-1"}
-	for _, name := range roles {
-		u, err := f.usageOf(name)
-		if err != nil {
-			return err
-		}
-		idle[name] = u
+	idle, err := f.usages(roles)
+	if err != nil {
+		return err
 	}
 	direct, through, err := compareDirect(f, calls)
 	if err != nil {
@@ -110,13 +106,9 @@
 
 // saturate loads the fleet with a fixed number of callers.
 func saturate(f *fleet, roles []string, idle map[string]usage, seconds, callers int) error {
-	before := make(map[string]usage)
-	for _, name := range roles {
-		u, err := f.usageOf(name)
-		if err != nil {
-			return err
-		}
-		before[name] = u
+	before, err := f.usages(roles)
+	if err != nil {
+		return err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(seconds)*time.Second)
 	defer cancel()
--- a/cmd/hawthornbench/slopes.go
+++ b/cmd/hawthornbench/slopes.go
@@ -237,13 +237,9 @@
 			time.Sleep(15 * time.Second)
 			const window = 10 * time.Second
 			roles := []string{"entry-1", "encode-1", "control-1", "control-2", "control-3"}
-			before := make(map[string]usage)
-			for _, name := range roles {
-				u, err := f.usageOf(name)
-				if err != nil {
-					return err
-				}
-				before[name] = u
+			before, err := f.usages(roles)
+			if err != nil {
+				return err
 			}
 			time.Sleep(window)
 			for _, name := range roles {
@@ -287,13 +283,9 @@
 func streamOnce(f *fleet, streams int) error {
 	const tokens = 2000
 	roles := []string{"entry-1", "pattern-1"}
-	before := make(map[string]usage)
-	for _, name := range roles {
-		u, err := f.usageOf(name)
-		if err != nil {
-			return err
-		}
-		before[name] = u
+	before, err := f.usages(roles)
+	if err != nil {
+		return err
 	}
 	chunks := make(chan int, streams)
 	errs := make(chan error, streams)
--- a/cmd/hawthornbench/usage.go
+++ b/cmd/hawthornbench/usage.go
@@ -37,3 +37,16 @@
 	}
 	return usage{cpu: time.Duration(user+system) * clockTick, rss: pages * pageBytes}, nil
 }
+
+// usages reads what several processes of the fleet have used so far.
+func (f *fleet) usages(names []string) (map[string]usage, error) {
+	out := make(map[string]usage, len(names))
+	for _, name := range names {
+		u, err := f.usageOf(name)
+		if err != nil {
+			return nil, err
+		}
+		out[name] = u
+	}
+	return out, nil
+}
--- a/internal/beside/gate/gate.go
+++ b/internal/beside/gate/gate.go
@@ -189,14 +189,3 @@
 		return a
 	}
 }
-
-// Running returns the number of attempts that are handed to the upstream.
-func (g *Gate) Running() int {
-	n := 0
-	for _, e := range g.attempts {
-		if e.State == Running {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/fleet/link/pool.go
+++ b/internal/fleet/link/pool.go
@@ -236,29 +236,6 @@
 	return reply, nil
 }
 
-// Drop ends the session to an address; the next request dials anew.
-func (p *Pool) Drop(address string) {
-	p.mu.Lock()
-	pr := p.peers[address]
-	delete(p.peers, address)
-	p.mu.Unlock()
-	if pr == nil {
-		return
-	}
-	pr.mu.Lock()
-	defer pr.mu.Unlock()
-	if pr.session != nil {
-		pr.session.Close()
-	}
-}
-
-// Sessions returns the number of addresses with a session.
-func (p *Pool) Sessions() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.peers)
-}
-
 // Close ends all sessions and waits for their heartbeats.
 func (p *Pool) Close() error {
 	p.mu.Lock()
--- a/internal/fleet/process/process.go
+++ b/internal/fleet/process/process.go
@@ -217,14 +217,6 @@
 	return svc != nil && svc.Synced()
 }
 
-// Traffic returns what membership has sent.
-func (p *Process) Traffic() member.Traffic {
-	if svc := p.members.Load(); svc != nil {
-		return svc.Traffic()
-	}
-	return member.Traffic{}
-}
-
 func (p *Process) memberChanged(changed []*fleetpb.Member) {
 	p.mu.Lock()
 	for _, m := range changed {
--- a/internal/fleet/replica/host.go
+++ b/internal/fleet/replica/host.go
@@ -226,7 +226,6 @@
 		if after := h.machine.DocumentIndex(); after != before {
 			h.documentChanged(after)
 		}
-		h.replica.applied.Add(1)
 		if e.Command == nil {
 			continue
 		}
@@ -239,9 +238,6 @@
 
 func (h *host) documentChanged(index uint64) {
 	h.cfg.Timeline.Add("commit", "", fmt.Sprintf("document %d", index))
-	if h.cfg.Changed != nil {
-		h.cfg.Changed(index)
-	}
 }
 
 func (h *host) restore(s *statepb.Snapshot) {
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -51,8 +51,6 @@
 	Log             *zap.Logger
 	// Fatal is told of an error after which the process must end.
 	Fatal func(error)
-	// Changed is told of each new document index.
-	Changed func(index uint64)
 }
 
 // NotLeaderError refuses a request that only the leader may answer.
@@ -91,8 +89,6 @@
 	send *senders
 	done chan struct{}
 	wg   sync.WaitGroup
-	// applied counts the commands applied here.
-	applied atomic.Uint64
 }
 
 // NewIdentity returns a random disk identity, never zero.
--- a/internal/serve/pipeline/executor.go
+++ b/internal/serve/pipeline/executor.go
@@ -174,8 +174,7 @@
 	entries := float64(max(1, x.cfg.Entries()))
 	now := time.Now()
 	err := x.cfg.Book.Admit(ticket, s.Upstreams.LongShare, func(pool string) float64 {
-		slots, _ := x.cfg.Table.Slots(now, groups[pool])
-		return slots / entries
+		return x.cfg.Table.Slots(now, groups[pool]) / entries
 	})
 	var refused *admit.RefusedError
 	if errors.As(err, &refused) {
--- a/internal/serve/route/pick.go
+++ b/internal/serve/route/pick.go
@@ -124,14 +124,15 @@
 }
 
 // Slots returns the number of slots of a pool, weighed by how slow each
-// upstream is, and the number of its upstreams.
-func (t *Table) Slots(now time.Time, g Group) (slots float64, upstreams int) {
+// upstream is.
+func (t *Table) Slots(now time.Time, g Group) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	slots := 0.0
 	for _, s := range t.groups[g] {
 		slots += float64(s.Slots) / max(1, s.slowness(now))
 	}
-	return slots, len(t.groups[g])
+	return slots
 }
 
 // Find returns the upstream of a name.
