--- a/cmd/hawthornbench/demo.go
+++ b/cmd/hawthornbench/demo.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -111,7 +112,7 @@
 		go func() {
 			r, err := call(ctx, ask{entry: f.entry(i), account: "calados", pipeline: "check", body: caller.Body{Input: fmt.Sprintf("archive layout %d", i), Tokens: 1000}})
 			if err == nil && !r.done() {
-				err = fmt.Errorf("archive layout refused: %+v", r.refusal)
+				err = errors.Join(fmt.Errorf("archive layout refused: %+v", r.refusal), demoTimeline(f, r.refusal.Request))
 			}
 			long <- err
 		}()
--- a/cmd/hawthornhub/agent.go
+++ b/cmd/hawthornhub/agent.go
@@ -17,7 +17,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/control"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/fleet/process"
-	"hawthornhub.example/hawthornhub/internal/front/platform"
+	"hawthornhub.example/hawthornhub/internal/front/health"
 	"hawthornhub.example/hawthornhub/internal/operator/settings"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
@@ -38,7 +38,7 @@
 // beside is a running agent instance.
 type beside struct {
 	process  *process.Process
-	platform *platform.Platform
+	health   *health.Health
 	agent    *agent.Agent
 	said     atomic.Pointer[upstream.Announcement]
 	http     *http.Server
@@ -64,7 +64,7 @@
 }
 
 func startAgent(s settings.Settings, log *zap.Logger) (*beside, error) {
-	b := &beside{platform: platform.New(platform.Config{Role: "agent", Process: s.Name})}
+	b := &beside{health: health.New(health.Config{Role: "agent", Process: s.Name})}
 	var err error
 	var a atomic.Pointer[agent.Agent]
 	b.process, err = process.Start(process.Config{
@@ -109,8 +109,8 @@
 
 func (b *beside) serve(s settings.Settings, log *zap.Logger) error {
 	mux := http.NewServeMux()
-	b.platform.Routes(mux)
-	b.platform.SetReady(b.ready)
+	b.health.Routes(mux)
+	b.health.SetReady(b.ready)
 	var err error
 	if b.http, err = serveHTTP(s.Listen.HTTP, mux, log); err != nil {
 		return err
@@ -192,5 +192,5 @@
 	case <-ctx.Done():
 	case <-time.After(outcomeLinger):
 	}
-	return errors.Join(b.announce.Close(), b.http.Close(), b.agent.Close(), b.process.Close(), b.platform.Close())
+	return errors.Join(b.announce.Close(), b.http.Close(), b.agent.Close(), b.process.Close(), b.health.Close())
 }
--- a/cmd/hawthornhub/control.go
+++ b/cmd/hawthornhub/control.go
@@ -16,8 +16,8 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/fleet/process"
 	"hawthornhub.example/hawthornhub/internal/fleet/replica"
+	"hawthornhub.example/hawthornhub/internal/front/health"
 	"hawthornhub.example/hawthornhub/internal/front/operator"
-	"hawthornhub.example/hawthornhub/internal/front/platform"
 	"hawthornhub.example/hawthornhub/internal/operator/settings"
 	"hawthornhub.example/hawthornhub/internal/serve/once"
 	"hawthornhub.example/hawthornhub/internal/serve/sweep"
@@ -41,9 +41,9 @@
 
 // controller is a running control instance.
 type controller struct {
-	process  *process.Process
-	platform *platform.Platform
-	replica  atomic.Pointer[replica.Replica]
+	process *process.Process
+	health  *health.Health
+	replica atomic.Pointer[replica.Replica]
 	// ready is closed once replica is set.
 	ready chan struct{}
 	// alone is set where the settings list no other control instance.
@@ -79,9 +79,9 @@
 
 func startControl(s settings.Settings, first string, log *zap.Logger) (*controller, error) {
 	c := &controller{
-		platform: platform.New(platform.Config{Role: "control", Process: s.Name}),
-		ready:    make(chan struct{}),
-		alone:    len(s.Control) == 1,
+		health: health.New(health.Config{Role: "control", Process: s.Name}),
+		ready:  make(chan struct{}),
+		alone:  len(s.Control) == 1,
 	}
 	var err error
 	c.process, err = process.Start(process.Config{
@@ -120,8 +120,8 @@
 	p := c.process
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", operator.NewServer(operator.Config{Client: p.Client, Pool: p.Pool, Members: p.Members, Timeline: p.Timeline}))
-	c.platform.Routes(mux)
-	c.platform.SetReady(c.readiness)
+	c.health.Routes(mux)
+	c.health.SetReady(c.readiness)
 	var err error
 	if c.http, err = serveHTTP(s.Listen.HTTP, mux, log); err != nil {
 		return err
@@ -193,6 +193,6 @@
 		c.process.Server.Close(),
 		r.Close(),
 		c.process.Close(),
-		c.platform.Close(),
+		c.health.Close(),
 	)
 }
--- a/cmd/hawthornhub/entry.go
+++ b/cmd/hawthornhub/entry.go
@@ -15,7 +15,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/fleet/process"
 	"hawthornhub.example/hawthornhub/internal/front/caller"
-	"hawthornhub.example/hawthornhub/internal/front/platform"
+	"hawthornhub.example/hawthornhub/internal/front/health"
 	"hawthornhub.example/hawthornhub/internal/operator/settings"
 	"hawthornhub.example/hawthornhub/internal/serve/admit"
 	"hawthornhub.example/hawthornhub/internal/serve/limit"
@@ -34,7 +34,7 @@
 // entry is a running entry instance.
 type entry struct {
 	process  *process.Process
-	platform *platform.Platform
+	health   *health.Health
 	http     *http.Server
 	draining atomic.Bool
 }
@@ -58,7 +58,7 @@
 }
 
 func startEntry(s settings.Settings, log *zap.Logger) (*entry, error) {
-	e := &entry{platform: platform.New(platform.Config{Role: "entry", Process: s.Name})}
+	e := &entry{health: health.New(health.Config{Role: "entry", Process: s.Name})}
 	table := route.NewTable(route.Config{Entry: s.Name, Zone: s.Zone, Random: rand.IntN})
 	var err error
 	e.process, err = process.Start(process.Config{
@@ -80,8 +80,8 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", e.callers(s, table))
-	e.platform.Routes(mux)
-	e.platform.SetReady(e.ready)
+	e.health.Routes(mux)
+	e.health.SetReady(e.ready)
 	if e.http, err = serveHTTP(s.Listen.HTTP, mux, log); err != nil {
 		return nil, errors.Join(err, e.process.Close())
 	}
@@ -112,7 +112,7 @@
 		Follower: p.Follower,
 		Entries:  entries,
 		Timeline: p.Timeline,
-		Metrics:  e.platform.Metrics(),
+		Metrics:  e.health.Metrics(),
 	})
 	return caller.NewServer(caller.Config{
 		Entry:        s.Name,
@@ -158,5 +158,5 @@
 		e.process.Log.Error("requests cut", zap.Error(err))
 		err = errors.Join(err, e.http.Close())
 	}
-	return errors.Join(err, e.process.Close(), e.platform.Close())
+	return errors.Join(err, e.process.Close(), e.health.Close())
 }
--- /dev/null
+++ b/cmd/hawthornhub/gateway.go
@@ -0,0 +1,231 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"runtime"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"go.uber.org/zap"
+
+	"hawthornhub.example/hawthornhub/internal/beside/direct"
+	"hawthornhub.example/hawthornhub/internal/beside/pieces"
+	"hawthornhub.example/hawthornhub/internal/fleet/link"
+	"hawthornhub.example/hawthornhub/internal/fleet/news"
+	"hawthornhub.example/hawthornhub/internal/fleet/roster"
+	"hawthornhub.example/hawthornhub/internal/front/gateway"
+	"hawthornhub.example/hawthornhub/internal/operator/settings"
+	"hawthornhub.example/hawthornhub/internal/serve/place"
+	"hawthornhub.example/hawthornhub/internal/state/site"
+	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
+	"hawthornhub.example/hawthornhub/platform"
+)
+
+const (
+	// callerIdle is how long a caller's idle connection is kept.
+	callerIdle = 90 * time.Second
+	// callerHeaderBytes bounds the headers of a request.
+	callerHeaderBytes = 64 << 10
+	// balancerNotices is how long the balancer may still send connections after
+	// the process has said that it is not ready.
+	balancerNotices = 3 * time.Second
+)
+
+func gatewayCommand(app *kingpin.Application) command {
+	clause := app.Command("gateway", "Run an entry that calls upstreams without agents.")
+	file := clause.Flag("settings", "Settings file.").Required().String()
+	return command{clause: clause, run: func() error { return runGateway(*file) }}
+}
+
+// gate is a running gateway process.
+type gate struct {
+	*base
+	table    *roster.Table
+	upstream *direct.Pool
+	owner    *pieces.Owner
+	router   *pieces.Router
+	server   *gateway.Server
+	follower atomic.Pointer[news.Follower]
+	links    *link.Server
+	callers  *http.Server
+	ready    *http.Server
+	draining atomic.Bool
+}
+
+func runGateway(file string) error {
+	runtime.GOMAXPROCS(1)
+	b, err := newBase(file, settings.RoleGateway)
+	if err != nil {
+		return err
+	}
+	g := &gate{base: b}
+	if err := g.start(); err != nil {
+		return err
+	}
+	ctx, cancel := b.untilStop(func(s settings.Site) { g.follower.Load().Add(s.Controls()) })
+	defer cancel()
+	return g.stop(ctx)
+}
+
+func (g *gate) start() error {
+	s := g.settings
+	g.table = roster.New(roster.Config{Changed: g.upstreamChanged})
+	g.upstream = direct.NewPool(direct.Config{Classify: platform.Classify, Log: g.log})
+	g.owner = pieces.NewOwner(pieces.Config{
+		Send:      g.upstream.Send,
+		Wire:      platform.Pieces(),
+		Upstreams: g.table.Service,
+		Service:   g.service,
+		NewID:     func() string { return strconv.FormatUint(rand.Uint64(), 16) },
+		Log:       g.log,
+	})
+	g.router = pieces.NewRouter(pieces.RouterConfig{Owner: g.owner, Pool: g.pool, Self: s.Listen.Link, Owners: g.owners, Log: g.log})
+	g.server = gateway.NewServer(gateway.Config{
+		Wire:      platform.Gateway(),
+		Send:      g.upstream.Send,
+		Upstreams: g.table.Service,
+		Stages:    g.router.Do,
+		Release:   g.router.Release,
+		Place:     place.New(place.Config{Zone: s.Zone, Random: rand.IntN}),
+		Entries:   func() int { return max(1, len(g.owners())) },
+		Retry:     gateway.RetryLimit{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
+		Zone:      s.Zone,
+		Metrics:   g.health.Metrics(),
+		Log:       g.log,
+	})
+	var err error
+	g.links, err = link.Listen(link.ServerConfig{Address: s.Listen.Link, Local: g.local, Auth: g.auth, Handle: g.handle, Log: g.log})
+	if err != nil {
+		return err
+	}
+	g.follower.Store(news.NewFollower(news.FollowerConfig{
+		Pool:  g.pool,
+		Seeds: s.Controls(),
+		Watch: g.watch,
+		Take:  g.take,
+		Log:   g.log,
+	}))
+	g.callers = &http.Server{Handler: g.server, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: callerHeaderBytes}
+	g.ready = &http.Server{Handler: platform.ReadyMux(g.readiness)}
+	return errors.Join(g.serveOn(s.Listen.Ready, g.ready), g.serveOn(s.Listen.Callers, g.callers))
+}
+
+func (g *gate) handle(ctx context.Context, st *link.Stream, first *fleetpb.Envelope) {
+	switch first.Body.(type) {
+	case *fleetpb.Envelope_PieceCall, *fleetpb.Envelope_PieceRelease:
+		g.owner.Serve(ctx, st, first)
+	default:
+		g.log.Warn("message not understood", zap.String("from", first.From))
+	}
+}
+
+func (g *gate) self() *fleetpb.Peer {
+	return &fleetpb.Peer{
+		Name:        g.settings.Name,
+		Role:        news.RoleEntry,
+		Zone:        g.settings.Zone,
+		Link:        g.settings.Listen.Link,
+		Incarnation: g.incarnation,
+		Leaving:     g.draining.Load(),
+	}
+}
+
+func (g *gate) watch() *fleetpb.Watch {
+	w := &fleetpb.Watch{Self: g.self()}
+	if x := g.server.Index(); x != nil {
+		w.Version = x.Version
+	}
+	now := time.Now()
+	for _, u := range g.table.All() {
+		w.Upstreams = append(w.Upstreams, u.Word(now))
+	}
+	return w
+}
+
+// take takes over what a control instance tells.
+func (g *gate) take(n *fleetpb.News) {
+	now := time.Now()
+	for _, w := range n.Upstreams {
+		g.table.Merge(roster.FromWord(w, now))
+	}
+	if n.Adopted == nil {
+		return
+	}
+	if x := g.server.Index(); x != nil && x.Version >= n.Adopted.Version {
+		return
+	}
+	d, err := platform.DecodeDocument(n.Adopted.Text)
+	if err != nil {
+		g.log.Error("accepted site document cannot be read", zap.Uint64("version", n.Adopted.Version), zap.Error(err))
+		return
+	}
+	g.server.Configure(site.NewIndex(d))
+	g.log.Info("site document in force", zap.Uint64("version", d.Version), zap.Int("routes", len(d.Routes)), zap.Uint64("index", n.Adopted.Index))
+}
+
+func (g *gate) upstreamChanged(before, after roster.Upstream) {
+	g.log.Info("upstream changed",
+		zap.String("upstream", after.ID), zap.String("service", after.Service), zap.String("address", after.Address),
+		zap.Stringer("before", before.State), zap.Stringer("state", after.State), zap.Int64("born", after.Born), zap.Uint64("seq", after.Seq))
+	if after.State != roster.Ready {
+		g.upstream.Forget(after.ID)
+	}
+}
+
+func (g *gate) service(name string) (*site.Service, bool) {
+	x := g.server.Index()
+	if x == nil {
+		return nil, false
+	}
+	return x.Service(name)
+}
+
+// owners returns the entries that may own services.
+func (g *gate) owners() []string {
+	f := g.follower.Load()
+	if f == nil {
+		return nil
+	}
+	var out []string
+	for _, p := range f.Peers(news.RoleEntry) {
+		if !p.Leaving {
+			out = append(out, p.Link)
+		}
+	}
+	return out
+}
+
+// readiness returns why the balancer should send no connections.
+func (g *gate) readiness() error {
+	if g.draining.Load() {
+		return errors.New("draining")
+	}
+	if g.server.Index() == nil {
+		return errors.New("no configuration is known yet")
+	}
+	return nil
+}
+
+// stop lets the balancer notice, finishes what has begun, and ends.
+func (g *gate) stop(ctx context.Context) error {
+	g.draining.Store(true)
+	g.server.Drain()
+	g.follower.Load().Tell(g.self())
+	select {
+	case <-ctx.Done():
+	case <-time.After(balancerNotices):
+	}
+	err := g.callers.Shutdown(ctx)
+	if err != nil {
+		g.log.Warn("requests cut at the end of the grace period", zap.Int64("requests", g.server.Open()), zap.Error(err))
+		err = g.callers.Close()
+	}
+	err = errors.Join(err, g.ready.Close(), g.follower.Load().Close(), g.router.Close(), g.links.Close(), g.owner.Close(), g.upstream.Close())
+	g.close()
+	return err
+}
--- a/cmd/hawthornhub/main.go
+++ b/cmd/hawthornhub/main.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	hawthornhub entry|agent|control --settings FILE
+//	hawthornhub entry|agent|control|gateway|registry --settings FILE
 //	hawthornhub check --settings FILE --role ROLE [--document FILE]
 //	hawthornhub config get|edit|history --control ADDRESS --team NAME --key-file FILE
 //	hawthornhub status|drain|orders|timeline --control ADDRESS --team NAME --key-file FILE
@@ -57,6 +57,8 @@
 		entryCommand(app),
 		agentCommand(app),
 		controlCommand(app),
+		gatewayCommand(app),
+		registryCommand(app),
 		checkCommand(app),
 	}
 	commands = append(commands, configCommands(app)...)
--- /dev/null
+++ b/cmd/hawthornhub/site.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"go.uber.org/zap"
+	"go.uber.org/zap/exp/zapslog"
+	"go.uber.org/zap/zapcore"
+
+	"hawthornhub.example/hawthornhub/internal/fleet/link"
+	"hawthornhub.example/hawthornhub/internal/fleet/timeline"
+	"hawthornhub.example/hawthornhub/internal/front/health"
+	"hawthornhub.example/hawthornhub/internal/operator/logs"
+	"hawthornhub.example/hawthornhub/internal/operator/settings"
+)
+
+const (
+	// memoryShare is the part of an instance's memory that the collector keeps
+	// the process under.
+	memoryShare = 0.6
+	// ringEvents is the number of time line events that a process keeps.
+	ringEvents = 2048
+)
+
+// base is what gateway and registry processes have in common.
+type base struct {
+	file        string
+	role        settings.Role
+	settings    settings.Site
+	incarnation uint64
+	logs        *logs.Log
+	log         *zap.Logger
+	health      *health.Health
+	timeline    *timeline.Recorder
+	local       link.Local
+	auth        link.Auth
+	pool        *link.Pool
+}
+
+func newBase(file string, role settings.Role) (*base, error) {
+	s, err := settings.LoadSite(file, role)
+	if err != nil {
+		return nil, &exitError{code: exitUsage, err: err}
+	}
+	level, err := zapcore.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, &exitError{code: exitUsage, err: err}
+	}
+	if s.MemoryMb > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMb) * memoryShare * (1 << 20)))
+	}
+	b := &base{file: file, role: role, settings: s, incarnation: uint64(time.Now().UnixNano())}
+	b.logs = logs.Open(logs.Config{Out: os.Stdout, Level: level})
+	b.log = b.logs.Logger().With(zap.String("process", s.Name))
+	b.health = health.New(health.Config{Role: string(role), Process: s.Name})
+	b.timeline = timeline.NewRecorder(timeline.Config{Process: s.Name, Capacity: ringEvents, Log: b.log})
+	key, err := s.FleetKey()
+	if err != nil {
+		return nil, &exitError{code: exitUsage, err: err}
+	}
+	b.auth = link.Auth{Key: key}
+	b.local = link.Local{Name: s.Name, Clock: b.timeline.Clock()}
+	if role == settings.RoleRegistry {
+		// The members of the log are called by their addresses.
+		b.local.Name = s.Listen.Link
+	}
+	b.pool = link.NewPool(link.PoolConfig{Local: b.local, Auth: b.auth, Log: b.log})
+	b.log.Info("process starts", zap.String("role", string(role)), zap.String("zone", s.Zone), zap.Strings("seeds", s.Seeds),
+		zap.Uint64("incarnation", b.incarnation), zap.Bool("first", s.Replica.First), zap.String("program", version))
+	return b, nil
+}
+
+func (b *base) actors() *actor.ActorSystem {
+	return actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
+		return slog.New(zapslog.NewHandler(b.log.Core(), zapslog.WithName("actor")))
+	}))
+}
+
+// serveOn starts an HTTP server at an address of the settings.
+func (b *base) serveOn(address string, srv *http.Server) error {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	srv.ErrorLog = zap.NewStdLog(b.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))
+	go func() {
+		if err := srv.Serve(ln); err != http.ErrServerClosed {
+			b.log.Error("HTTP server ended", zap.String("address", address), zap.Error(err))
+		}
+	}()
+	return nil
+}
+
+// untilStop calls reload at each SIGHUP and returns at the first SIGTERM or
+// SIGINT with a context that ends with the grace period.
+func (b *base) untilStop(reload func(settings.Site)) (context.Context, context.CancelFunc) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			break
+		}
+		b.reload(reload)
+	}
+	grace := b.settings.Grace()
+	b.log.Info("process stops", zap.Duration("grace", grace))
+	return context.WithTimeout(context.Background(), grace-graceMargin)
+}
+
+// graceMargin is kept of the grace period for ending the process itself.
+const graceMargin = 500 * time.Millisecond
+
+func (b *base) reload(apply func(settings.Site)) {
+	s, err := settings.LoadSite(b.file, b.role)
+	if err != nil {
+		b.log.Error("settings not reloaded", zap.Error(err))
+		return
+	}
+	apply(s)
+	b.log.Info("settings reloaded", zap.Strings("seeds", s.Seeds))
+}
+
+func (b *base) close() {
+	if err := b.pool.Close(); err != nil {
+		b.log.Warn("links not closed", zap.Error(err))
+	}
+	if err := b.health.Close(); err != nil {
+		b.log.Warn("metrics not reported", zap.Error(err))
+	}
+	b.log.Info("process ends")
+	_ = b.logs.Close() // Nothing is left to log to.
+}
--- /dev/null
+++ b/internal/beside/pieces/call.go
@@ -0,0 +1,237 @@
+package pieces
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hawthornhub.example/hawthornhub/internal/beside/direct"
+	"hawthornhub.example/hawthornhub/internal/fleet/roster"
+	"hawthornhub.example/hawthornhub/internal/serve/gather"
+)
+
+const (
+	// maxAnswerBytes bounds the answer to a call.
+	maxAnswerBytes = 1 << 20
+	// freeTimeout bounds a request that gives results back.
+	freeTimeout = 2 * time.Second
+)
+
+// callError says how a call failed as a whole.
+type callError struct {
+	// unreachable is set where the request did not leave.
+	unreachable bool
+	// full is set where the upstream had no room for the call.
+	full bool
+	err  error
+}
+
+// Error tells what happened.
+func (e *callError) Error() string { return e.err.Error() }
+
+func (p *pool) call(u roster.Upstream, batch []gather.Piece) {
+	defer p.owner.wg.Done()
+	p.mu.Lock()
+	expected := p.queue.Duration(len(batch))
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(p.owner.ctx, patience*expected+patienceLeast)
+	defer cancel()
+	began := time.Now()
+	outputs, err := p.exchange(ctx, u, batch)
+	took := time.Since(began)
+	p.mu.Lock()
+	released := p.finish(u, batch, outputs, err, float64(took)/float64(expected))
+	p.mu.Unlock()
+	p.owner.release(p.service, released)
+}
+
+// exchange sends a call and reads its answer whole.
+func (p *pool) exchange(ctx context.Context, u roster.Upstream, batch []gather.Piece) ([]Output, *callError) {
+	t := p.target(u)
+	request, err := p.owner.cfg.Wire.Run(t, p.owner.cfg.NewID(), p.items(batch))
+	if err != nil {
+		return nil, &callError{err: err}
+	}
+	switch o := p.owner.cfg.Send(ctx, t, request).(type) {
+	case direct.NotSent:
+		return nil, &callError{unreachable: true, err: o.Err}
+	case direct.Unknown:
+		return nil, &callError{err: o.Err}
+	case direct.Rejected:
+		return nil, &callError{full: true, err: fmt.Errorf("upstream %s rejected the call with status %d", u.ID, o.Status)}
+	case *direct.Answered:
+		return p.read(o, len(batch))
+	default:
+		panic(fmt.Sprintf("pieces: unhandled outcome %T", o))
+	}
+}
+
+func (p *pool) read(o *direct.Answered, n int) ([]Output, *callError) {
+	defer o.Close()
+	body, err := io.ReadAll(io.LimitReader(o.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, &callError{err: fmt.Errorf("read answer: %w", err)}
+	}
+	if o.Status != http.StatusOK {
+		return nil, &callError{err: fmt.Errorf("the call was answered with status %d", o.Status)}
+	}
+	outputs, err := p.owner.cfg.Wire.Outputs(body)
+	if err != nil {
+		return nil, &callError{err: err}
+	}
+	if len(outputs) != n {
+		return nil, &callError{err: fmt.Errorf("the answer has %d outputs for %d pieces", len(outputs), n)}
+	}
+	return outputs, nil
+}
+
+func (p *pool) target(u roster.Upstream) direct.Target {
+	return direct.Target{ID: u.ID, Address: u.Address}
+}
+
+func (p *pool) items(batch []gather.Piece) []Item {
+	now := time.Now()
+	out := make([]Item, len(batch))
+	for i, piece := range batch {
+		g := piece.Group
+		out[i] = Item{Request: g.Request, Stage: g.Stage, Piece: piece.Index, Left: g.Deadline.Sub(now), Key: g.Key, Inputs: g.Inputs}
+	}
+	return out
+}
+
+// finish takes over the end of a call and returns the results that nobody
+// waits for any more. The caller holds mu.
+func (p *pool) finish(u roster.Upstream, batch []gather.Piece, outputs []Output, failed *callError, pace float64) []string {
+	now := time.Now()
+	s := p.state(u.ID)
+	s.busy--
+	var unused []string
+	if failed != nil {
+		p.failed(now, u, s, batch, failed)
+	} else {
+		s.pace += paceShare * (pace - s.pace)
+		unused = p.outputs(now, s, batch, outputs)
+	}
+	p.pump(now)
+	return unused
+}
+
+func (p *pool) failed(now time.Time, u roster.Upstream, s *upstreamState, batch []gather.Piece, failed *callError) {
+	p.owner.cfg.Log.Warn("call with pieces failed",
+		zap.String("service", p.service), zap.String("upstream", u.ID), zap.Int("pieces", len(batch)),
+		zap.String("request", batch[0].Group.Request), zap.Error(failed.err))
+	s.restTil = now.Add(restAfterFailure)
+	if failed.full {
+		s.restTil = now.Add(restAfterFull)
+	}
+	counted := make(map[*gather.Group]bool)
+	for _, piece := range batch {
+		w := p.waiters[piece.Group]
+		if w == nil {
+			continue
+		}
+		if !failed.full && !failed.unreachable && !counted[piece.Group] {
+			counted[piece.Group] = true
+			w.tries++
+		}
+		p.again(piece, w, failed.err)
+	}
+}
+
+// again puts a piece back, or fails its group after too many tries.
+func (p *pool) again(piece gather.Piece, w *waiter, err error) {
+	if w.tries >= maxTries {
+		p.end(piece.Group, Failed{Err: err})
+		return
+	}
+	p.queue.Return(piece)
+}
+
+func (p *pool) outputs(now time.Time, s *upstreamState, batch []gather.Piece, outputs []Output) []string {
+	var unused []string
+	for i, out := range outputs {
+		piece := batch[i]
+		w := p.waiters[piece.Group]
+		switch {
+		case w == nil && out.Reason == None:
+			unused = append(unused, out.Handle)
+		case w == nil:
+		case out.Reason == None:
+			if p.queue.Done(piece, out.Handle) {
+				p.end(piece.Group, Made{Handles: piece.Group.Handles(), Queued: w.last.Sub(w.began), Calls: piece.Group.Calls()})
+			}
+		default:
+			unused = append(unused, p.unmade(now, s, piece, w, out.Reason)...)
+		}
+	}
+	return unused
+}
+
+var (
+	errLate   = errors.New("the pieces had no time left at their turn")
+	errGone   = errors.New("an input of the pieces no longer exists")
+	errNoRoom = errors.New("no upstream has memory for the results")
+	errBroken = errors.New("the upstream failed the piece")
+)
+
+// unmade decides what becomes of a piece that an upstream did not make.
+func (p *pool) unmade(now time.Time, s *upstreamState, piece gather.Piece, w *waiter, reason Reason) []string {
+	switch reason {
+	case Late:
+		p.end(piece.Group, Failed{Err: errLate})
+		return piece.Group.Made()
+	case Gone:
+		p.end(piece.Group, Failed{InputsGone: true, Err: errGone})
+		return piece.Group.Made()
+	case NoRoom:
+		s.restTil = now.Add(restAfterFull)
+		p.again(piece, w, errNoRoom)
+	default:
+		w.tries++
+		p.again(piece, w, errBroken)
+	}
+	return nil
+}
+
+// release gives results back to the upstreams that hold them.
+func (o *Owner) release(service string, handles []string) {
+	if len(handles) == 0 {
+		return
+	}
+	byAddress := make(map[string][]string)
+	for _, h := range handles {
+		at := o.cfg.Wire.Holder(h)
+		byAddress[at] = append(byAddress[at], h)
+	}
+	for _, u := range o.cfg.Upstreams(service) {
+		if held := byAddress[u.Address]; len(held) > 0 && o.ctx.Err() == nil {
+			o.wg.Add(1)
+			go o.free(direct.Target{ID: u.ID, Address: u.Address}, held)
+		}
+	}
+}
+
+func (o *Owner) free(t direct.Target, handles []string) {
+	defer o.wg.Done()
+	ctx, cancel := context.WithTimeout(o.ctx, freeTimeout)
+	defer cancel()
+	request, err := o.cfg.Wire.Free(t, handles)
+	if err != nil {
+		o.cfg.Log.Error("encode give-back", zap.Error(err))
+		return
+	}
+	answered, ok := o.cfg.Send(ctx, t, request).(*direct.Answered)
+	if !ok {
+		o.cfg.Log.Debug("results not given back, they expire", zap.String("upstream", t.ID), zap.Int("results", len(handles)))
+		return
+	}
+	if _, err := io.Copy(io.Discard, answered.Body); err != nil {
+		o.cfg.Log.Debug("answer to give-back cut", zap.Error(err))
+	}
+	answered.Close()
+}
--- /dev/null
+++ b/internal/beside/pieces/order.go
@@ -0,0 +1,100 @@
+package pieces
+
+import (
+	"time"
+
+	"hawthornhub.example/hawthornhub/internal/beside/direct"
+)
+
+// Order asks for the pieces of one stage of one request.
+type Order struct {
+	Request string
+	Service string
+	Stage   int
+	Pieces  int
+	// Key is set for stages without inputs.
+	Key    string
+	Inputs []string
+	// Left is the time until the caller gives up, Objective until the answer
+	// is late.
+	Left, Objective time.Duration
+	// Rest is the expected time of what follows the stage.
+	Rest  time.Duration
+	Rank  int
+	Worth float64
+	Zone  string
+}
+
+// Result is how an Order ended: Made, Refused or Failed.
+type Result interface{ isResult() }
+
+// Made has the results in the order of the pieces.
+type Made struct {
+	Handles []string
+	// Queued is the time until the last piece was handed out.
+	Queued time.Duration
+	// Calls is the number of calls over which the pieces were spread.
+	Calls int
+}
+
+// Refused says that the pieces cannot be made in time.
+type Refused struct {
+	// Retry is when there is expected to be room.
+	Retry time.Duration
+}
+
+// Failed says that the pieces could not be made.
+type Failed struct {
+	// InputsGone is set where an input no longer exists.
+	InputsGone bool
+	Err        error
+}
+
+func (Made) isResult()    {}
+func (Refused) isResult() {}
+func (Failed) isResult()  {}
+
+// Item is one piece in a call to an upstream.
+type Item struct {
+	Request string
+	Stage   int
+	Piece   int
+	Left    time.Duration
+	Key     string
+	Inputs  []string
+}
+
+// Reason is why an upstream did not make a piece.
+type Reason int
+
+// The reasons.
+const (
+	// None is the reason of a piece that was made.
+	None Reason = iota
+	// Late pieces had no time left at their turn.
+	Late
+	// Gone pieces lack an input.
+	Gone
+	// NoRoom pieces found no memory for their result.
+	NoRoom
+	// Broken pieces failed.
+	Broken
+)
+
+// Output is an upstream's answer for one Item.
+type Output struct {
+	Handle string
+	Reason Reason
+}
+
+// Wire is how upstreams are spoken to.
+type Wire struct {
+	// Run returns the request for a call with items.
+	Run func(t direct.Target, id string, items []Item) (direct.Request, error)
+	// Outputs reads the answer to it.
+	Outputs func(body []byte) ([]Output, error)
+	// Free returns the request that gives results back.
+	Free func(t direct.Target, handles []string) (direct.Request, error)
+	// Holder returns the address of the upstream that holds a result.
+	Holder func(handle string) string
+}
--- /dev/null
+++ b/internal/beside/pieces/owner.go
@@ -0,0 +1,290 @@
+package pieces
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hawthornhub.example/hawthornhub/internal/beside/direct"
+	"hawthornhub.example/hawthornhub/internal/fleet/roster"
+	"hawthornhub.example/hawthornhub/internal/serve/gather"
+	"hawthornhub.example/hawthornhub/internal/state/site"
+)
+
+const (
+	// maxTries is the number of calls in which a piece may fail.
+	maxTries = 3
+	// restAfterFailure is how long an upstream that failed is not called.
+	restAfterFailure = time.Second
+	// restAfterFull is how long an upstream that had no room is not called.
+	restAfterFull = 60 * time.Millisecond
+	// silentAfter is the silence from which an upstream is called only when
+	// there is no other.
+	silentAfter = 4 * time.Second
+	// patience is the multiple of its expected time after which a call is given
+	// up, and patienceLeast is added to it.
+	patience      = 3
+	patienceLeast = 600 * time.Millisecond
+	// paceShare is the weight of a new observation in an upstream's pace.
+	paceShare = 0.3
+)
+
+// Config builds an Owner.
+type Config struct {
+	// Send sends a request to an upstream.
+	Send func(ctx context.Context, t direct.Target, r direct.Request) direct.Outcome
+	Wire Wire
+	// Upstreams returns those of a service that may be called.
+	Upstreams func(service string) []roster.Upstream
+	// Service returns the description of a service.
+	Service func(name string) (*site.Service, bool)
+	// NewID returns an id for a call.
+	NewID func() string
+	Log   *zap.Logger
+}
+
+// Owner runs the pieces of the services that this process owns. It is safe for
+// concurrent use.
+type Owner struct {
+	cfg    Config
+	ctx    context.Context
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	pools  map[string]*pool
+	nextID uint64
+	wg     sync.WaitGroup
+}
+
+// pool is the queue and the upstreams of one service.
+type pool struct {
+	owner   *Owner
+	service string
+	mu      sync.Mutex
+	queue   *gather.Queue
+	waiters map[*gather.Group]*waiter
+	states  map[string]*upstreamState
+	timer   *time.Timer
+}
+
+type waiter struct {
+	done  chan Result
+	tries int
+	began time.Time
+	last  time.Time
+}
+
+type upstreamState struct {
+	busy    int
+	restTil time.Time
+	// pace is how many times its expected time a call takes.
+	pace float64
+}
+
+// NewOwner returns an Owner without work.
+func NewOwner(cfg Config) *Owner {
+	o := &Owner{cfg: cfg, pools: make(map[string]*pool)}
+	o.ctx, o.cancel = context.WithCancel(context.Background())
+	return o
+}
+
+func (o *Owner) pool(service string) (*pool, bool) {
+	described, ok := o.cfg.Service(service)
+	if !ok || described.Pieces == nil {
+		return nil, false
+	}
+	cfg := gather.Config{Batch: described.Pieces.Batch, Call: described.Pieces.Call, Item: described.Pieces.Item}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	p := o.pools[service]
+	if p == nil {
+		p = &pool{
+			owner:   o,
+			service: service,
+			queue:   gather.NewQueue(cfg),
+			waiters: make(map[*gather.Group]*waiter),
+			states:  make(map[string]*upstreamState),
+		}
+		o.pools[service] = p
+	}
+	p.mu.Lock()
+	p.queue.Configure(cfg)
+	p.mu.Unlock()
+	return p, true
+}
+
+// Do makes the pieces of an order. It returns at the latest when ctx ends.
+func (o *Owner) Do(ctx context.Context, order Order) Result {
+	p, ok := o.pool(order.Service)
+	if !ok {
+		return Failed{Err: &UnknownServiceError{Service: order.Service}}
+	}
+	now := time.Now()
+	o.mu.Lock()
+	o.nextID++
+	id := o.nextID
+	o.mu.Unlock()
+	g := gather.NewGroup(gather.Group{
+		ID:        id,
+		Request:   order.Request,
+		Service:   order.Service,
+		Stage:     order.Stage,
+		Key:       order.Key,
+		Inputs:    order.Inputs,
+		Arrived:   now,
+		Deadline:  now.Add(order.Left),
+		Objective: now.Add(order.Objective),
+		Rest:      order.Rest,
+		Rank:      order.Rank,
+		Worth:     order.Worth,
+		Zone:      order.Zone,
+	}, order.Pieces)
+	w, refused := p.push(now, g)
+	if refused != nil {
+		return *refused
+	}
+	select {
+	case r := <-w.done:
+		return r
+	case <-ctx.Done():
+		o.release(order.Service, p.withdraw(g))
+		return Failed{Err: ctx.Err()}
+	}
+}
+
+// UnknownServiceError reports an order for a service that does not work on
+// pieces.
+type UnknownServiceError struct{ Service string }
+
+// Error names the remedy.
+func (e *UnknownServiceError) Error() string {
+	return "service " + e.Service + " does not work on pieces here; wait for the configuration that says so"
+}
+
+func (p *pool) push(now time.Time, g *gather.Group) (*waiter, *Refused) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usable := p.usable(now)
+	if retry, ok := p.queue.Admit(now, g, len(usable)); !ok {
+		p.owner.cfg.Log.Info("pieces refused",
+			zap.String("request", g.Request), zap.String("service", p.service), zap.Int("stage", g.Stage),
+			zap.Int("waiting", p.queue.Waiting()), zap.Int("upstreams", len(usable)), zap.Duration("retry", retry))
+		return nil, &Refused{Retry: retry}
+	}
+	w := &waiter{done: make(chan Result, 1), began: now, last: now}
+	p.waiters[g] = w
+	p.queue.Push(g)
+	p.pump(now)
+	return w, nil
+}
+
+// withdraw drops a group and returns the results that exist.
+func (p *pool) withdraw(g *gather.Group) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.queue.Remove(g)
+	delete(p.waiters, g)
+	return g.Made()
+}
+
+// usable returns the upstreams to call, those that were heard of lately where
+// there are any.
+func (p *pool) usable(now time.Time) []roster.Upstream {
+	all := p.owner.cfg.Upstreams(p.service)
+	var out []roster.Upstream
+	for _, u := range all {
+		if now.Sub(u.Heard) <= silentAfter && !now.Before(p.state(u.ID).restTil) {
+			out = append(out, u)
+		}
+	}
+	if len(out) == 0 {
+		return all
+	}
+	return out
+}
+
+func (p *pool) state(id string) *upstreamState {
+	s := p.states[id]
+	if s == nil {
+		s = &upstreamState{pace: 1}
+		p.states[id] = s
+	}
+	return s
+}
+
+// pump hands out pieces to the upstreams that are idle, the fastest first. The
+// caller holds mu.
+func (p *pool) pump(now time.Time) {
+	if p.queue.Waiting() == 0 || p.owner.ctx.Err() != nil {
+		return
+	}
+	var idle []roster.Upstream
+	for _, u := range p.usable(now) {
+		if s := p.state(u.ID); s.busy == 0 && !now.Before(s.restTil) {
+			idle = append(idle, u)
+		}
+	}
+	rand.Shuffle(len(idle), func(i, j int) { idle[i], idle[j] = idle[j], idle[i] })
+	slices.SortStableFunc(idle, func(a, b roster.Upstream) int {
+		return int(8*p.state(a.ID).pace) - int(8*p.state(b.ID).pace)
+	})
+	for i, u := range idle {
+		batch := p.queue.Batch(now, len(idle)-i)
+		if len(batch) == 0 {
+			break
+		}
+		p.start(now, u, batch)
+	}
+	if p.queue.Waiting() > 0 {
+		p.later()
+	}
+}
+
+// later pumps again once an upstream may have rested.
+func (p *pool) later() {
+	if p.timer != nil {
+		return
+	}
+	p.timer = time.AfterFunc(restAfterFull, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.timer = nil
+		now := time.Now()
+		for _, g := range p.queue.Expired(now) {
+			p.end(g, Failed{Err: context.DeadlineExceeded})
+		}
+		p.pump(now)
+	})
+}
+
+func (p *pool) start(now time.Time, u roster.Upstream, batch []gather.Piece) {
+	p.state(u.ID).busy++
+	for _, piece := range batch {
+		if w := p.waiters[piece.Group]; w != nil {
+			w.last = now
+		}
+	}
+	p.owner.wg.Add(1)
+	go p.call(u, batch)
+}
+
+// end answers the waiter of a group. The caller holds mu.
+func (p *pool) end(g *gather.Group, r Result) {
+	w := p.waiters[g]
+	if w == nil {
+		return
+	}
+	delete(p.waiters, g)
+	p.queue.Remove(g)
+	w.done <- r
+}
+
+// Close abandons all work and waits for the calls.
+func (o *Owner) Close() error {
+	o.cancel()
+	o.wg.Wait()
+	return nil
+}
--- /dev/null
+++ b/internal/beside/pieces/router.go
@@ -0,0 +1,232 @@
+package pieces
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hawthornhub.example/hawthornhub/internal/fleet/link"
+	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
+)
+
+// openTimeout bounds the opening of a stream to another owner.
+const openTimeout = 700 * time.Millisecond
+
+// RouterConfig builds a Router.
+type RouterConfig struct {
+	// Owner runs what this process owns.
+	Owner *Owner
+	Pool  *link.Pool
+	// Self is this process's link address.
+	Self string
+	// Owners returns the link addresses of the entries that may own services,
+	// this one too.
+	Owners func() []string
+	Log    *zap.Logger
+}
+
+// Router takes orders to the owners of their services. It is safe for
+// concurrent use.
+type Router struct {
+	cfg    RouterConfig
+	ctx    context.Context
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	remote map[string]*remote
+	wg     sync.WaitGroup
+}
+
+// NewRouter returns a Router without streams.
+func NewRouter(cfg RouterConfig) *Router {
+	r := &Router{cfg: cfg, remote: make(map[string]*remote)}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	return r
+}
+
+// ownerOf returns the address of a service's owner among addresses.
+func ownerOf(service string, addresses []string, except map[string]bool) (string, bool) {
+	best, found := "", false
+	var most uint64
+	for _, a := range addresses {
+		if except[a] {
+			continue
+		}
+		h := fnv.New64a()
+		h.Write([]byte(service))
+		h.Write([]byte{0})
+		h.Write([]byte(a))
+		w := h.Sum64() * 0x9e3779b97f4a7c15
+		if !found || w > most {
+			best, most, found = a, w, true
+		}
+	}
+	return best, found
+}
+
+// errOwnerLost says that an owner went away with an order.
+var errOwnerLost = errors.New("the owner of the service was lost with the order")
+
+// Do makes the pieces of an order at the owner of its service, or at the next
+// one where that one is lost.
+func (r *Router) Do(ctx context.Context, order Order) Result {
+	began := time.Now()
+	lost := make(map[string]bool)
+	for {
+		address, ok := ownerOf(order.Service, r.cfg.Owners(), lost)
+		if !ok || address == r.cfg.Self {
+			return r.cfg.Owner.Do(ctx, order.WithPassed(time.Since(began)))
+		}
+		result, err := r.ask(ctx, address, order.WithPassed(time.Since(began)))
+		if err == nil {
+			return result
+		}
+		if ctx.Err() != nil {
+			return Failed{Err: ctx.Err()}
+		}
+		r.cfg.Log.Warn("owner of pieces lost, asking the next",
+			zap.String("request", order.Request), zap.String("service", order.Service), zap.String("owner", address), zap.Error(err))
+		lost[address] = true
+	}
+}
+
+// WithPassed returns the order after some of its time has passed.
+func (o Order) WithPassed(d time.Duration) Order {
+	o.Left -= d
+	o.Objective -= d
+	return o
+}
+
+func (r *Router) ask(ctx context.Context, address string, order Order) (Result, error) {
+	m, err := r.to(address)
+	if err != nil {
+		return nil, err
+	}
+	return m.do(ctx, order)
+}
+
+// to returns the stream to an owner, opening it where there is none.
+func (r *Router) to(address string) (*remote, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.remote[address]; m != nil && !m.isLost() {
+		return m, nil
+	}
+	if err := r.ctx.Err(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, openTimeout)
+	defer cancel()
+	st, err := r.cfg.Pool.Open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	m := &remote{stream: st, pending: make(map[uint64]chan Result), lost: make(chan struct{})}
+	r.remote[address] = m
+	r.wg.Add(1)
+	go func() {
+		defer r.wg.Done()
+		m.receive()
+	}()
+	return m, nil
+}
+
+// Release gives results back through the owner of their service.
+func (r *Router) Release(service string, handles []string) {
+	if len(handles) == 0 {
+		return
+	}
+	address, ok := ownerOf(service, r.cfg.Owners(), nil)
+	if !ok || address == r.cfg.Self {
+		r.cfg.Owner.release(service, handles)
+		return
+	}
+	m, err := r.to(address)
+	if err == nil {
+		err = m.stream.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_PieceRelease{PieceRelease: &fleetpb.PieceRelease{Service: service, Handles: handles}}})
+	}
+	if err != nil {
+		r.cfg.Log.Debug("results given back from here, the owner is lost", zap.String("owner", address), zap.Error(err))
+		r.cfg.Owner.release(service, handles)
+	}
+}
+
+// Close ends all streams and waits.
+func (r *Router) Close() error {
+	r.cancel()
+	r.mu.Lock()
+	for _, m := range r.remote {
+		m.stream.Close()
+	}
+	r.mu.Unlock()
+	r.wg.Wait()
+	return nil
+}
+
+// remote is the stream to one owner.
+type remote struct {
+	stream  *link.Stream
+	mu      sync.Mutex
+	nextID  uint64
+	pending map[uint64]chan Result
+	lost    chan struct{}
+}
+
+func (m *remote) isLost() bool {
+	select {
+	case <-m.lost:
+		return true
+	default:
+		return false
+	}
+}
+
+func (m *remote) do(ctx context.Context, order Order) (Result, error) {
+	done := make(chan Result, 1)
+	m.mu.Lock()
+	m.nextID++
+	id := m.nextID
+	m.pending[id] = done
+	m.mu.Unlock()
+	defer m.forget(id)
+	if err := m.stream.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_PieceCall{PieceCall: order.message(id)}}); err != nil {
+		m.stream.Close()
+		return nil, err
+	}
+	select {
+	case r := <-done:
+		return r, nil
+	case <-m.lost:
+		return nil, errOwnerLost
+	case <-ctx.Done():
+		err := m.stream.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_PieceCancel{PieceCancel: &fleetpb.PieceCancel{Id: id}}})
+		return nil, errors.Join(ctx.Err(), err)
+	}
+}
+
+func (m *remote) forget(id uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.pending, id)
+}
+
+func (m *remote) receive() {
+	defer close(m.lost)
+	defer m.stream.Close()
+	for {
+		e, err := m.stream.Recv()
+		if err != nil {
+			return
+		}
+		result := e.GetPieceResult()
+		m.mu.Lock()
+		done := m.pending[result.GetId()]
+		m.mu.Unlock()
+		if done != nil {
+			done <- resultOf(result)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/news/follower.go
@@ -0,0 +1,223 @@
+package news
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hawthornhub.example/hawthornhub/internal/fleet/link"
+	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
+)
+
+// The roles in a Peer.
+const (
+	RoleEntry   = "entry"
+	RoleControl = "control"
+)
+
+// redial is the wait before a control instance is dialled again.
+const redial = 200 * time.Millisecond
+
+// FollowerConfig builds a Follower.
+type FollowerConfig struct {
+	Pool *link.Pool
+	// Seeds are the link addresses of control instances to begin with.
+	Seeds []string
+	// Watch returns what the stream is opened with.
+	Watch func() *fleetpb.Watch
+	// Take is told of the News of one control instance at a time, before they
+	// are acknowledged. It must be safe for concurrent use.
+	Take func(*fleetpb.News)
+	Log  *zap.Logger
+}
+
+// Follower keeps a stream to each control instance. It is safe for concurrent
+// use.
+type Follower struct {
+	cfg    FollowerConfig
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	mu     sync.Mutex
+	// sources holds the streams by link address.
+	sources map[string]*source
+	own     string
+}
+
+// source is one control instance.
+type source struct {
+	address string
+	cancel  context.CancelFunc
+	stream  *link.Stream
+	// peers is its last list, kept while it is away.
+	peers     []*fleetpb.Peer
+	connected bool
+}
+
+// NewFollower starts to follow.
+func NewFollower(cfg FollowerConfig) *Follower {
+	f := &Follower{cfg: cfg, sources: make(map[string]*source), own: cfg.Watch().GetSelf().GetLink()}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.Add(cfg.Seeds)
+	return f
+}
+
+// Add follows more control instances.
+func (f *Follower) Add(addresses []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range addresses {
+		if a == f.own || f.sources[a] != nil || f.ctx.Err() != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(f.ctx)
+		s := &source{address: a, cancel: cancel}
+		f.sources[a] = s
+		f.wg.Add(1)
+		go f.follow(ctx, s)
+	}
+}
+
+// Peers returns the processes of a role that a connected control instance
+// lists; where none is connected, those that any listed last.
+func (f *Follower) Peers(role string) []*fleetpb.Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]*fleetpb.Peer)
+	if f.collect(out, role, true) == 0 {
+		f.collect(out, role, false)
+	}
+	list := make([]*fleetpb.Peer, 0, len(out))
+	for _, p := range out {
+		list = append(list, p)
+	}
+	return list
+}
+
+func (f *Follower) collect(out map[string]*fleetpb.Peer, role string, connected bool) int {
+	sources := 0
+	for _, s := range f.sources {
+		if connected && !s.connected {
+			continue
+		}
+		sources++
+		for _, p := range s.peers {
+			if p.Role != role || p.Incarnation < out[p.Name].GetIncarnation() {
+				continue
+			}
+			out[p.Name] = p
+		}
+	}
+	return sources
+}
+
+// Connected returns the number of control instances that are followed now.
+func (f *Follower) Connected() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, s := range f.sources {
+		if s.connected {
+			n++
+		}
+	}
+	return n
+}
+
+// Tell sends the own record to all control instances again.
+func (f *Follower) Tell(self *fleetpb.Peer) {
+	f.mu.Lock()
+	var streams []*link.Stream
+	for _, s := range f.sources {
+		if s.connected {
+			streams = append(streams, s.stream)
+		}
+	}
+	f.mu.Unlock()
+	for _, st := range streams {
+		if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_NewsSeen{NewsSeen: &fleetpb.NewsSeen{Self: self}}}); err != nil {
+			f.cfg.Log.Warn("own record not told", zap.Error(err))
+		}
+	}
+}
+
+func (f *Follower) follow(ctx context.Context, s *source) {
+	defer f.wg.Done()
+	for ctx.Err() == nil {
+		err := f.watch(ctx, s)
+		f.disconnected(s, err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(redial):
+		}
+	}
+}
+
+func (f *Follower) disconnected(s *source, err error) {
+	f.mu.Lock()
+	was := s.connected
+	s.connected = false
+	s.stream = nil
+	f.mu.Unlock()
+	if was {
+		f.cfg.Log.Warn("control instance lost", zap.String("peer", s.address), zap.Error(err))
+	}
+}
+
+// watch follows one stream until it ends.
+func (f *Follower) watch(ctx context.Context, s *source) error {
+	st, err := f.cfg.Pool.Open(ctx, s.address)
+	if err != nil {
+		return err
+	}
+	defer st.Close()
+	stop := context.AfterFunc(ctx, func() { st.Close() })
+	defer stop()
+	if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_Watch{Watch: f.cfg.Watch()}}); err != nil {
+		return err
+	}
+	for {
+		e, err := st.Recv()
+		if err != nil {
+			return err
+		}
+		n := e.GetNews()
+		if n == nil {
+			continue
+		}
+		f.take(s, st, n)
+		if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_NewsSeen{NewsSeen: &fleetpb.NewsSeen{Seq: n.Seq}}}); err != nil {
+			return err
+		}
+	}
+}
+
+func (f *Follower) take(s *source, st *link.Stream, n *fleetpb.News) {
+	f.mu.Lock()
+	if !s.connected {
+		f.cfg.Log.Info("control instance found", zap.String("peer", s.address))
+	}
+	s.connected = true
+	s.stream = st
+	var controls []string
+	if n.WholePeers {
+		s.peers = n.Peers
+		for _, p := range n.Peers {
+			if p.Role == RoleControl {
+				controls = append(controls, p.Link)
+			}
+		}
+	}
+	f.mu.Unlock()
+	f.Add(controls)
+	f.cfg.Take(n)
+}
+
+// Close ends all streams and waits.
+func (f *Follower) Close() error {
+	f.cancel()
+	f.wg.Wait()
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/news/hub.go
@@ -0,0 +1,316 @@
+package news
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hawthornhub.example/hawthornhub/internal/fleet/link"
+	"hawthornhub.example/hawthornhub/internal/fleet/roster"
+	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
+	"hawthornhub.example/hawthornhub/internal/wire/statepb"
+)
+
+const (
+	// watcherQueue is the number of News that wait for one watcher; one that
+	// falls further behind must watch anew.
+	watcherQueue = 256
+	// refreshEvery is the time between News that only show that upstreams live.
+	refreshEvery = 600 * time.Millisecond
+)
+
+// HubConfig builds a Hub.
+type HubConfig struct {
+	// Self returns this control instance's own record.
+	Self func() *fleetpb.Peer
+	// Table holds the upstreams.
+	Table *roster.Table
+	// Voters returns the link addresses of the instances that hold the log.
+	Voters func() []string
+	Log    *zap.Logger
+}
+
+// Hub tells watchers of each change. It is safe for concurrent use.
+type Hub struct {
+	cfg       HubConfig
+	mu        sync.Mutex
+	watchers  map[*watcher]bool
+	adopted   *statepb.Adopted
+	refreshed map[string]bool
+	done      chan struct{}
+	wg        sync.WaitGroup
+}
+
+// watcher is one stream to a process.
+type watcher struct {
+	peer   *fleetpb.Peer
+	queue  chan *fleetpb.News
+	seq    uint64
+	seen   uint64
+	moved  chan struct{}
+	behind bool
+}
+
+// NewHub returns a Hub without watchers.
+func NewHub(cfg HubConfig) *Hub {
+	h := &Hub{
+		cfg:       cfg,
+		watchers:  make(map[*watcher]bool),
+		refreshed: make(map[string]bool),
+		done:      make(chan struct{}),
+	}
+	h.wg.Add(1)
+	go h.refresh()
+	return h
+}
+
+// Adopt tells of a new site document. An older one than known is dropped.
+func (h *Hub) Adopt(a *statepb.Adopted) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if a.GetVersion() <= h.adopted.GetVersion() {
+		return
+	}
+	h.adopted = a
+	h.publish(&fleetpb.News{Adopted: a})
+}
+
+// Merge takes over words that another control instance has passed on.
+func (h *Hub) Merge(words []*fleetpb.UpstreamWord) {
+	now := time.Now()
+	for _, w := range words {
+		h.merge(roster.FromWord(w, now))
+	}
+}
+
+// Announce takes over an upstream's own word. Where it changes anything, it
+// waits until every watcher has it, or until ctx ends.
+func (h *Hub) Announce(ctx context.Context, u roster.Upstream) roster.Outcome {
+	outcome := h.merge(u)
+	if outcome == roster.Changed {
+		h.wait(ctx)
+	}
+	return outcome
+}
+
+func (h *Hub) merge(u roster.Upstream) roster.Outcome {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	outcome := h.cfg.Table.Merge(u)
+	switch outcome {
+	case roster.Changed:
+		if held, ok := h.cfg.Table.Get(u.ID); ok {
+			h.publish(&fleetpb.News{Upstreams: []*fleetpb.UpstreamWord{held.Word(time.Now())}})
+		}
+	case roster.Refreshed:
+		h.refreshed[u.ID] = true
+	case roster.Stale:
+	}
+	return outcome
+}
+
+// publish queues News for all watchers. The caller holds mu.
+func (h *Hub) publish(n *fleetpb.News) {
+	for w := range h.watchers {
+		h.queue(w, n)
+	}
+}
+
+func (h *Hub) queue(w *watcher, n *fleetpb.News) {
+	if w.behind {
+		return
+	}
+	w.seq++
+	own := &fleetpb.News{Seq: w.seq, Upstreams: n.Upstreams, Adopted: n.Adopted, Peers: n.Peers, WholePeers: n.WholePeers}
+	select {
+	case w.queue <- own:
+	default:
+		w.behind = true
+		close(w.queue)
+	}
+}
+
+// wait returns once all watchers have seen what was published before.
+func (h *Hub) wait(ctx context.Context) {
+	h.mu.Lock()
+	wanted := make(map[*watcher]uint64, len(h.watchers))
+	for w := range h.watchers {
+		wanted[w] = w.seq
+	}
+	h.mu.Unlock()
+	for w, seq := range wanted {
+		h.waitFor(ctx, w, seq)
+	}
+}
+
+func (h *Hub) waitFor(ctx context.Context, w *watcher, seq uint64) {
+	for {
+		h.mu.Lock()
+		done := w.seen >= seq || !h.watchers[w]
+		moved := w.moved
+		h.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			h.cfg.Log.Warn("watcher has not seen the change", zap.String("watcher", w.peer.GetName()))
+			return
+		case <-moved:
+		}
+	}
+}
+
+// Serve tells a watcher of everything known and of each change until its
+// stream ends.
+func (h *Hub) Serve(ctx context.Context, st *link.Stream, first *fleetpb.Watch) {
+	h.Merge(first.Upstreams)
+	w := h.join(first)
+	h.cfg.Log.Info("watcher joined", zap.String("watcher", w.peer.GetName()), zap.String("kind", w.peer.GetRole()))
+	stop := context.AfterFunc(ctx, func() { st.Close() })
+	defer stop()
+	h.wg.Add(1)
+	go h.receive(st, w)
+	for n := range w.queue {
+		if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_News{News: n}}); err != nil {
+			break
+		}
+	}
+	st.Close()
+	h.leave(w)
+	h.cfg.Log.Info("watcher left", zap.String("watcher", w.peer.GetName()), zap.Bool("behind", w.behind))
+}
+
+func (h *Hub) join(first *fleetpb.Watch) *watcher {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	w := &watcher{peer: first.Self, queue: make(chan *fleetpb.News, watcherQueue), moved: make(chan struct{})}
+	h.watchers[w] = true
+	all := &fleetpb.News{}
+	for _, u := range h.cfg.Table.All() {
+		all.Upstreams = append(all.Upstreams, u.Word(now))
+	}
+	if h.adopted.GetVersion() > first.Version {
+		all.Adopted = h.adopted
+	}
+	h.queue(w, all)
+	h.publish(h.peers())
+	return w
+}
+
+func (h *Hub) leave(w *watcher) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.watchers[w] {
+		return
+	}
+	delete(h.watchers, w)
+	close(w.moved)
+	if !w.behind {
+		w.behind = true
+		close(w.queue)
+	}
+	h.publish(h.peers())
+}
+
+// peers lists this instance, its watchers and the other control instances. The
+// caller holds mu.
+func (h *Hub) peers() *fleetpb.News {
+	n := &fleetpb.News{WholePeers: true, Peers: []*fleetpb.Peer{h.cfg.Self()}}
+	known := map[string]bool{n.Peers[0].Link: true}
+	for w := range h.watchers {
+		n.Peers = append(n.Peers, w.peer)
+		known[w.peer.GetLink()] = true
+	}
+	for _, address := range h.cfg.Voters() {
+		if !known[address] {
+			n.Peers = append(n.Peers, &fleetpb.Peer{Name: address, Role: RoleControl, Link: address})
+		}
+	}
+	sort.Slice(n.Peers, func(i, j int) bool { return n.Peers[i].Name < n.Peers[j].Name })
+	return n
+}
+
+// receive takes the watcher's acknowledgements.
+func (h *Hub) receive(st *link.Stream, w *watcher) {
+	defer h.wg.Done()
+	for {
+		e, err := st.Recv()
+		if err != nil {
+			h.leave(w)
+			return
+		}
+		h.acknowledge(w, e.GetNewsSeen())
+	}
+}
+
+func (h *Hub) acknowledge(w *watcher, seen *fleetpb.NewsSeen) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.watchers[w] {
+		return
+	}
+	if self := seen.GetSelf(); self != nil {
+		w.peer = self
+		h.publish(h.peers())
+	}
+	w.seen = max(w.seen, seen.GetSeq())
+	close(w.moved)
+	w.moved = make(chan struct{})
+}
+
+// refresh tells from time to time which upstreams were heard.
+func (h *Hub) refresh() {
+	defer h.wg.Done()
+	t := time.NewTicker(refreshEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-h.done:
+			return
+		case now := <-t.C:
+			h.tellRefreshed(now)
+		}
+	}
+}
+
+func (h *Hub) tellRefreshed(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := &fleetpb.News{}
+	for id := range h.refreshed {
+		if u, ok := h.cfg.Table.Get(id); ok {
+			n.Upstreams = append(n.Upstreams, u.Word(now))
+		}
+	}
+	clear(h.refreshed)
+	if len(n.Upstreams) > 0 {
+		h.publish(n)
+	}
+}
+
+// Watchers returns the number of watchers.
+func (h *Hub) Watchers() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.watchers)
+}
+
+// Close ends all streams and waits.
+func (h *Hub) Close() error {
+	close(h.done)
+	h.mu.Lock()
+	for w := range h.watchers {
+		if !w.behind {
+			w.behind = true
+			close(w.queue)
+		}
+	}
+	h.mu.Unlock()
+	h.wg.Wait()
+	return nil
+}
--- a/internal/fleet/replica/host.go
+++ b/internal/fleet/replica/host.go
@@ -58,7 +58,9 @@
 	rounds    map[uint64]time.Time
 	confirmed time.Time
 	compacted uint64
-	wasRole   quorum.Role
+	// adopted is the version of the site document that was last told.
+	adopted uint64
+	wasRole quorum.Role
 	// names are the instances behind the identities that sent messages. A
 	// replica without a log knows its peers only by them.
 	names  map[uint64]string
@@ -226,6 +228,7 @@
 		if after := h.machine.DocumentIndex(); after != before {
 			h.documentChanged(after)
 		}
+		h.tellAdopted()
 		if e.Command == nil {
 			continue
 		}
@@ -236,6 +239,20 @@
 	}
 }
 
+// tellAdopted tells of a site document that has not been told yet.
+func (h *host) tellAdopted() {
+	if h.machine == nil || h.cfg.Adopted == nil {
+		return
+	}
+	a := h.machine.Adopted()
+	if a.GetVersion() <= h.adopted {
+		return
+	}
+	h.adopted = a.GetVersion()
+	h.cfg.Timeline.Add("adopt", "", fmt.Sprintf("site document %d at index %d", a.GetVersion(), a.GetIndex()))
+	h.cfg.Adopted(a)
+}
+
 func (h *host) documentChanged(index uint64) {
 	h.cfg.Timeline.Add("commit", "", fmt.Sprintf("document %d", index))
 }
@@ -251,6 +268,7 @@
 	h.compacted = s.Index
 	h.cfg.Timeline.Add("restore", "", fmt.Sprintf("snapshot %d", s.Index))
 	h.documentChanged(m.DocumentIndex())
+	h.tellAdopted()
 }
 
 func (h *host) answerRead(id uint64, err error) {
--- a/internal/fleet/replica/peers.go
+++ b/internal/fleet/replica/peers.go
@@ -17,6 +17,7 @@
 // senders holds one queue and goroutine for each peer.
 type senders struct {
 	pool   *link.Pool
+	open   bool
 	queues map[string]chan *statepb.Message
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -24,22 +25,31 @@
 }
 
 func newSenders(cfg Config) *senders {
-	s := &senders{pool: cfg.Pool, queues: make(map[string]chan *statepb.Message)}
+	s := &senders{pool: cfg.Pool, open: cfg.Open, queues: make(map[string]chan *statepb.Message)}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	for _, p := range cfg.Peers {
 		if p.Name == cfg.Name {
 			continue
 		}
-		q := make(chan *statepb.Message, sendQueue)
-		s.queues[p.Name] = q
-		s.wg.Add(1)
-		go s.run(p.Link, q)
+		s.start(p.Name, p.Link)
 	}
 	return s
 }
 
+func (s *senders) start(name, address string) chan *statepb.Message {
+	q := make(chan *statepb.Message, sendQueue)
+	s.queues[name] = q
+	s.wg.Add(1)
+	go s.run(address, q)
+	return q
+}
+
+// to queues a message. Only the host calls it.
 func (s *senders) to(name string, m *statepb.Message) {
 	q := s.queues[name]
+	if q == nil && s.open && name != "" && s.ctx.Err() == nil {
+		q = s.start(name, name)
+	}
 	if q == nil {
 		return
 	}
@@ -150,7 +160,7 @@
 		}
 		names[reply.Identity] = p.Name
 	}
-	if empty && lowest == r.cfg.Name && len(names) == len(r.cfg.Peers) {
+	if empty && !r.cfg.Joins && lowest == r.cfg.Name && len(names) == len(r.cfg.Peers) {
 		r.tell(&formMsg{names: names})
 	}
 }
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -27,6 +27,8 @@
 const (
 	electionTicks  = 10
 	heartbeatTicks = 2
+	// retireTicks is the silence after which a voter too many is removed.
+	retireTicks = 100
 	// hello is the time between introductions of an instance without a log.
 	hello = 300 * time.Millisecond
 )
@@ -41,6 +43,18 @@
 	// Document is the first document, used when the fleet is formed.
 	Document string
 	Peers    []control.Address
+	// Open lets instances join that Peers does not list. The names of all
+	// instances are then their link addresses.
+	Open bool
+	// Joins keeps an instance with an empty folder from forming a fleet: it
+	// waits to be admitted to one.
+	Joins bool
+	// Voters is the number of voters to return to once more have joined; 0
+	// keeps all.
+	Voters int
+	// Adopted is told of each site document that is committed, in order; nil
+	// is told nothing. It must not block.
+	Adopted func(*statepb.Adopted)
 	// Tick is the length of a tick of the log.
 	Tick time.Duration
 	// SnapshotEntries is the number of entries between snapshots.
@@ -125,6 +139,7 @@
 	h.replica = r
 	r.held.Store(&control.Held{})
 	h.publish()
+	h.tellAdopted()
 	r.pid = cfg.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return h }))
 	h.self = r.pid
 	r.wg.Add(2)
@@ -160,6 +175,8 @@
 		ElectionTicks:  electionTicks,
 		HeartbeatTicks: heartbeatTicks,
 		Jitter:         mrand.IntN,
+		Voters:         cfg.Voters,
+		RetireTicks:    retireTicks,
 	}
 }
 
@@ -239,6 +256,9 @@
 }
 
 func (r *Replica) isPeer(name string) bool {
+	if r.cfg.Open {
+		return true
+	}
 	for _, p := range r.cfg.Peers {
 		if p.Name == name {
 			return true
--- a/internal/fleet/replica/serve.go
+++ b/internal/fleet/replica/serve.go
@@ -83,6 +83,9 @@
 	if read.Document {
 		reply.Document = m.Document()
 	}
+	if read.Adopted {
+		reply.Adopted = m.Adopted()
+	}
 	if read.ClaimKey != "" {
 		reply.Claim = m.Claim(read.ClaimAccount, read.ClaimKey)
 	}
--- /dev/null
+++ b/internal/front/gateway/request.go
@@ -0,0 +1,270 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hawthornhub.example/hawthornhub/internal/beside/direct"
+	"hawthornhub.example/hawthornhub/internal/fleet/roster"
+	"hawthornhub.example/hawthornhub/internal/serve/place"
+	"hawthornhub.example/hawthornhub/internal/state/site"
+)
+
+// connectionShare is the part of an upstream's connections that all entries
+// together use.
+const connectionShare = 0.8
+
+// request is one request in progress.
+type request struct {
+	Attributes
+	server   *Server
+	http     *http.Request
+	body     []byte
+	began    time.Time
+	deadline time.Time
+	index    *site.Index
+	route    *site.Route
+	account  string
+	rank     int
+
+	service  *site.Service
+	results  []stageResult
+	staged   time.Duration
+	sends    int
+	tried    []string
+	after    string
+	upstream string
+}
+
+// fields returns what every log line on the request says.
+func (q *request) fields(more ...zap.Field) []zap.Field {
+	out := []zap.Field{zap.String("request", q.ID), zap.Duration("age", time.Since(q.began))}
+	if q.route != nil {
+		out = append(out, zap.String("route", q.route.Name), zap.Uint64("version", q.index.Version), zap.String("account", q.account))
+	}
+	if q.sends > 0 {
+		out = append(out, zap.Int("sends", q.sends), zap.String("upstream", q.upstream))
+	}
+	return append(out, more...)
+}
+
+// idempotent reports whether the request may run more than once.
+func (q *request) idempotent() bool {
+	return q.route.Kind == site.Safe || q.route.Kind == site.Streaming && q.route.Resumable
+}
+
+// run makes the stages, passes the request on and returns the answer.
+func (q *request) run(ctx context.Context, w http.ResponseWriter) {
+	defer q.release()
+	if f := q.chooseService(); f != nil {
+		q.server.refuse(w, q, f)
+		return
+	}
+	if f := q.runStages(ctx); f != nil {
+		q.server.refuse(w, q, f)
+		return
+	}
+	q.staged = time.Since(q.began)
+	q.server.budget(q.service.Name).Earn(q.server.cfg.Retry.Ratio * ratioShare)
+	answer, f := q.forward(ctx)
+	if f != nil {
+		q.server.refuse(w, q, f)
+		return
+	}
+	q.respond(ctx, w, answer)
+}
+
+// chooseService draws a service by the weights of the route's split.
+func (q *request) chooseService() *refusal {
+	total := 0.0
+	for _, s := range q.route.Split {
+		total += s.Weight
+	}
+	at := rand.Float64() * total
+	for _, s := range q.route.Split {
+		at -= s.Weight
+		if at < 0 {
+			q.service, _ = q.index.Service(s.Service)
+			return nil
+		}
+	}
+	return notRun("no service has a weight on the route", shortRetry)
+}
+
+// forward sends the request until an upstream answers it or it may not be sent
+// again.
+func (q *request) forward(ctx context.Context) (*direct.Answered, *refusal) {
+	var last *refusal
+	for tries := 0; tries < maxPicks; tries++ {
+		if err := ctx.Err(); err != nil {
+			return nil, q.timedOut(last)
+		}
+		u, ok := q.pick()
+		if !ok {
+			return nil, orElse(last, notRun("no upstream of the service is ready", shortRetry))
+		}
+		answer, f, again := q.try(ctx, u)
+		if answer != nil {
+			return answer, nil
+		}
+		last = f
+		if !again {
+			return nil, f
+		}
+	}
+	return nil, last
+}
+
+// maxPicks bounds the upstreams that are chosen for one request, those that
+// could not be reached included.
+const maxPicks = 6
+
+func orElse(f, other *refusal) *refusal {
+	if f != nil {
+		return f
+	}
+	return other
+}
+
+// timedOut answers a request whose time is over before an upstream answered.
+func (q *request) timedOut(last *refusal) *refusal {
+	if errors.Is(q.http.Context().Err(), context.Canceled) {
+		return &refusal{status: statusGone, reason: "the caller left", cut: true}
+	}
+	if last != nil && last.status != http.StatusServiceUnavailable {
+		return &refusal{status: http.StatusGatewayTimeout, reason: "no answer in time", err: last.err}
+	}
+	if q.sends > 0 && last == nil {
+		return &refusal{status: http.StatusGatewayTimeout, reason: "no answer in time"}
+	}
+	return notRun("the time is over before the request was sent", shortRetry)
+}
+
+// statusGone is logged for callers who left; it is never sent.
+const statusGone = 499
+
+func (q *request) pick() (roster.Upstream, bool) {
+	need := place.Need{Except: q.tried, Zones: q.inputZones()}
+	if n := len(q.Prompt); n > 0 && q.route.Sticky {
+		need.Prefix = q.Prompt[max(0, n-1-ownParts)].ID
+	}
+	return q.server.cfg.Place.Pick(time.Now(), need, q.server.cfg.Upstreams(q.service.Name))
+}
+
+// ownParts is the number of parts at the end of a prompt that belong to the
+// request or its session.
+const ownParts = 0
+
+// inputZones returns nothing yet: the makers' zones are not known here.
+func (q *request) inputZones() []string { return nil }
+
+// try sends the request to one upstream. again says whether it may be sent to
+// another.
+func (q *request) try(ctx context.Context, u roster.Upstream) (answer *direct.Answered, f *refusal, again bool) {
+	s := q.server
+	q.tried = append(q.tried, u.ID)
+	q.upstream = u.ID
+	t := direct.Target{ID: u.ID, Address: u.Address, MaxConnections: q.connections()}
+	q.sends++
+	outcome := s.cfg.Send(ctx, t, q.message(u))
+	now := time.Now()
+	switch o := outcome.(type) {
+	case *direct.Answered:
+		return q.answered(now, u, o)
+	case direct.Rejected:
+		s.cfg.Place.Ended(now, u.ID, place.End{Full: true, Report: reportOf(o.Reply.Load)})
+		f = notRun(fmt.Sprintf("the upstream did not take the request: status %d", o.Status), shortRetry)
+		return nil, f, q.again(u, "rejected", nil)
+	case direct.NotSent:
+		q.sends--
+		s.cfg.Place.Ended(now, u.ID, place.End{Unreachable: true})
+		q.log("request not sent", u, o.Err)
+		if ctx.Err() != nil {
+			return nil, q.timedOut(nil), false
+		}
+		return nil, notRun("the upstream could not be reached", shortRetry), true
+	case direct.Unknown:
+		s.cfg.Place.Ended(now, u.ID, place.End{Failed: ctx.Err() == nil})
+		f = mayHaveRun("the upstream's answer was lost", o.Err)
+		if ctx.Err() != nil {
+			return nil, q.timedOut(f), false
+		}
+		return nil, f, q.idempotent() && q.again(u, "lost", o.Err)
+	default:
+		panic(fmt.Sprintf("gateway: unhandled outcome %T", o))
+	}
+}
+
+// answered decides whether an answer is passed on.
+func (q *request) answered(now time.Time, u roster.Upstream, o *direct.Answered) (*direct.Answered, *refusal, bool) {
+	failed := o.Status >= http.StatusInternalServerError
+	if failed && q.idempotent() && q.again(u, fmt.Sprintf("status %d", o.Status), nil) {
+		o.Close()
+		q.server.cfg.Place.Ended(now, u.ID, place.End{Failed: true, Report: reportOf(o.Reply.Load)})
+		return nil, mayHaveRun(fmt.Sprintf("the upstream failed: status %d", o.Status), nil), true
+	}
+	q.server.cfg.Place.Report(now, u.ID, orZero(reportOf(o.Reply.Load)))
+	return o, nil, false
+}
+
+func orZero(r *place.Report) place.Report {
+	if r == nil {
+		return place.Report{}
+	}
+	return *r
+}
+
+// again reports whether the request may be sent once more, and logs why.
+func (q *request) again(u roster.Upstream, why string, err error) bool {
+	if q.sends >= max(1, q.route.Attempts) || !q.server.budget(q.service.Name).Spend() {
+		return false
+	}
+	q.log("request sent again: "+why, u, err)
+	q.server.cfg.Metrics.Counter("sent_again").Inc(1)
+	return true
+}
+
+func (q *request) log(message string, u roster.Upstream, err error) {
+	q.server.cfg.Log.Info(message, q.fields(zap.String("upstream_at", u.Address), zap.Duration("heard", time.Since(u.Heard)), zap.Error(err))...)
+}
+
+func (q *request) connections() int {
+	n := q.service.MaxConnections
+	if n == 0 {
+		return 0
+	}
+	return max(2, int(float64(n)*connectionShare)/max(1, q.server.cfg.Entries()))
+}
+
+// message returns the request as it goes to an upstream.
+func (q *request) message(u roster.Upstream) direct.Request {
+	return direct.Request{
+		ID:     q.ID,
+		Method: q.http.Method,
+		URI:    q.http.RequestURI,
+		Host:   q.http.Host,
+		Body:   q.body,
+		Header: q.server.cfg.Wire.Forward(q.http.Header, Forwarding{
+			Left:     time.Until(q.deadline),
+			Upstream: u.ID,
+			Account:  q.account,
+			Inputs:   q.inputs(),
+			Priority: q.rank,
+			Engine:   q.service.Engine != nil,
+			After:    q.after,
+		}),
+	}
+}
+
+func reportOf(l *direct.Load) *place.Report {
+	if l == nil {
+		return nil
+	}
+	return &place.Report{Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Slowness: l.Slowness}
+}
--- a/internal/front/platform/platform.go
+++ b/internal/front/health/health.go
@@ -1,4 +1,4 @@
-package platform
+package health
 
 import (
 	"fmt"
@@ -14,7 +14,7 @@
 // reportInterval is the time between reports of the metrics.
 const reportInterval = time.Second
 
-// Config builds a Platform.
+// Config builds a Health.
 type Config struct {
 	// Role begins the metrics' names.
 	Role string
@@ -22,8 +22,8 @@
 	Process string
 }
 
-// Platform is the platform's view of a process.
-type Platform struct {
+// Health is what watches a process see of it.
+type Health struct {
 	scope    tally.Scope
 	closer   io.Closer
 	reporter prometheus.Reporter
@@ -31,8 +31,8 @@
 	ready    func() error
 }
 
-// New returns a Platform that is not ready.
-func New(cfg Config) *Platform {
+// New returns a Health that is not ready.
+func New(cfg Config) *Health {
 	reporter := prometheus.NewReporter(prometheus.Options{})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "hawthornhub_" + cfg.Role,
@@ -41,7 +41,7 @@
 		Separator:       prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, reportInterval)
-	return &Platform{
+	return &Health{
 		scope:    scope,
 		closer:   closer,
 		reporter: reporter,
@@ -50,27 +50,27 @@
 }
 
 // Metrics returns the scope to report to.
-func (p *Platform) Metrics() tally.Scope { return p.scope }
+func (h *Health) Metrics() tally.Scope { return h.scope }
 
 // SetReady replaces the readiness check, which returns why the process is not
 // ready.
-func (p *Platform) SetReady(check func() error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.ready = check
+func (h *Health) SetReady(check func() error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ready = check
 }
 
-// Routes adds the platform's paths.
-func (p *Platform) Routes(mux *http.ServeMux) {
+// Routes adds the paths of health, readiness and metrics.
+func (h *Health) Routes(mux *http.ServeMux) {
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
-	mux.HandleFunc("GET /readyz", p.readyz)
-	mux.Handle("GET /metrics", p.reporter.HTTPHandler())
+	mux.HandleFunc("GET /readyz", h.readyz)
+	mux.Handle("GET /metrics", h.reporter.HTTPHandler())
 }
 
-func (p *Platform) readyz(w http.ResponseWriter, _ *http.Request) {
-	p.mu.Lock()
-	check := p.ready
-	p.mu.Unlock()
+func (h *Health) readyz(w http.ResponseWriter, _ *http.Request) {
+	h.mu.Lock()
+	check := h.ready
+	h.mu.Unlock()
 	if err := check(); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
@@ -79,4 +79,4 @@
 }
 
 // Close reports the metrics a last time.
-func (p *Platform) Close() error { return p.closer.Close() }
+func (h *Health) Close() error { return h.closer.Close() }
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -20,6 +20,10 @@
 	RoleEntry   Role = "entry"
 	RoleAgent   Role = "agent"
 	RoleControl Role = "control"
+	// RoleGateway is an entry that calls upstreams without agents.
+	RoleGateway Role = "gateway"
+	// RoleRegistry is a control instance that upstreams announce themselves to.
+	RoleRegistry Role = "registry"
 )
 
 // Settings is what one process is told at its start.
@@ -259,14 +263,16 @@
 const minKeyBytes = 16
 
 // FleetKey reads the shared key.
-func (s Settings) FleetKey() ([]byte, error) {
-	b, err := os.ReadFile(s.FleetKeyFile)
+func (s Settings) FleetKey() ([]byte, error) { return readKey(s.FleetKeyFile) }
+
+func readKey(file string) ([]byte, error) {
+	b, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("read fleet key: %w; check the setting fleet_key_file", err)
 	}
 	b = bytes.TrimSpace(b)
 	if len(b) < minKeyBytes {
-		return nil, fmt.Errorf("fleet key in %s is shorter than %d bytes; make a longer one", s.FleetKeyFile, minKeyBytes)
+		return nil, fmt.Errorf("fleet key in %s is shorter than %d bytes; make a longer one", file, minKeyBytes)
 	}
 	return b, nil
 }
--- /dev/null
+++ b/internal/serve/gather/queue.go
@@ -0,0 +1,189 @@
+package gather
+
+import (
+	"slices"
+	"time"
+)
+
+// Config describes each upstream of a service.
+type Config struct {
+	// Batch is the greatest number of pieces in one call.
+	Batch int
+	// Call is the time of a call without its pieces, Item that of one piece.
+	Call, Item time.Duration
+}
+
+// Queue holds the groups with pieces to hand out. It is not safe for
+// concurrent use.
+type Queue struct {
+	cfg     Config
+	groups  []*Group
+	waiting int
+}
+
+// NewQueue returns an empty Queue.
+func NewQueue(cfg Config) *Queue { return &Queue{cfg: cfg} }
+
+// Configure replaces the description of the upstreams.
+func (q *Queue) Configure(cfg Config) { q.cfg = cfg }
+
+// Waiting returns the number of pieces to hand out.
+func (q *Queue) Waiting() int { return q.waiting }
+
+// Duration returns the expected time of a call with n pieces.
+func (q *Queue) Duration(n int) time.Duration {
+	return q.cfg.Call + time.Duration(n)*q.cfg.Item
+}
+
+// rate returns the pieces a second of upstreams with full batches.
+func (q *Queue) rate(upstreams int) float64 {
+	return float64(upstreams*q.cfg.Batch) / q.Duration(q.cfg.Batch).Seconds()
+}
+
+// Admit reports whether the pieces of a group can be made before its deadline
+// behind those that go before it, and otherwise when there will be room.
+func (q *Queue) Admit(now time.Time, g *Group, upstreams int) (time.Duration, bool) {
+	if upstreams == 0 {
+		return q.Duration(q.cfg.Batch), false
+	}
+	ahead := 0
+	for _, other := range q.groups {
+		if before(now, other, g, q.Duration(1)) {
+			ahead += len(other.todo)
+		}
+	}
+	wait := time.Duration(float64(ahead) / q.rate(upstreams) * float64(time.Second))
+	need := wait + q.Duration(g.Pieces()) + g.Rest
+	if left := g.Deadline.Sub(now); need > left {
+		return need - left, false
+	}
+	return 0, true
+}
+
+// Push adds a group.
+func (q *Queue) Push(g *Group) {
+	q.groups = append(q.groups, g)
+	q.waiting += len(g.todo)
+}
+
+// Batch takes the pieces of the next call. idle is the number of upstreams
+// that are free, the one that the call goes to included: few pieces are spread
+// over them.
+func (q *Queue) Batch(now time.Time, idle int) []Piece {
+	if q.waiting == 0 {
+		return nil
+	}
+	q.sort(now)
+	n := min(q.cfg.Batch, max(q.leastBatch(), (q.waiting+idle-1)/max(1, idle)))
+	var out []Piece
+	kept := q.groups[:0]
+	for _, g := range q.groups {
+		took := min(n-len(out), len(g.todo))
+		for _, i := range g.todo[:took] {
+			out = append(out, Piece{Group: g, Index: i})
+		}
+		g.todo = g.todo[took:]
+		if took > 0 {
+			g.calls++
+		}
+		if len(g.todo) > 0 {
+			kept = append(kept, g)
+		}
+	}
+	clear(q.groups[len(kept):])
+	q.groups = kept
+	q.waiting -= len(out)
+	return out
+}
+
+// leastBatch is the number of pieces below which spreading over idle upstreams
+// gains too little time for the call that it costs.
+func (q *Queue) leastBatch() int {
+	if q.cfg.Item <= 0 {
+		return q.cfg.Batch
+	}
+	return max(1, int(q.cfg.Call/q.cfg.Item/spreadShare))
+}
+
+// spreadShare is the part of a call's fixed time that its pieces must take
+// before they are spread.
+const spreadShare = 4
+
+func (q *Queue) sort(now time.Time) {
+	least := q.Duration(1)
+	slices.SortStableFunc(q.groups, func(a, b *Group) int {
+		switch {
+		case before(now, a, b, least):
+			return -1
+		case before(now, b, a, least):
+			return 1
+		default:
+			return 0
+		}
+	})
+}
+
+// before reports whether a goes before b: on time before late, then by rank,
+// then by slack; late ones by rank and age.
+func before(now time.Time, a, b *Group, least time.Duration) bool {
+	as, bs := a.slack(now, least), b.slack(now, least)
+	if (as >= 0) != (bs >= 0) {
+		return as >= 0
+	}
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
+	}
+	if as >= 0 {
+		return as < bs
+	}
+	return a.Arrived.Before(b.Arrived)
+}
+
+// slack is the time that a group can still wait and be on time.
+func (g *Group) slack(now time.Time, least time.Duration) time.Duration {
+	return g.Objective.Sub(now) - g.Rest - least
+}
+
+// Done notes a result and reports whether it was the last of its group.
+func (q *Queue) Done(p Piece, handle string) bool {
+	if p.Group.handles[p.Index] == "" {
+		p.Group.made++
+	}
+	p.Group.handles[p.Index] = handle
+	return p.Group.made == len(p.Group.handles)
+}
+
+// Return puts a piece back that was handed out and not made.
+func (q *Queue) Return(p Piece) {
+	if len(p.Group.todo) == 0 {
+		q.groups = append(q.groups, p.Group)
+	}
+	p.Group.todo = append(p.Group.todo, p.Index)
+	q.waiting++
+}
+
+// Remove withdraws a group.
+func (q *Queue) Remove(g *Group) {
+	q.groups = slices.DeleteFunc(q.groups, func(other *Group) bool {
+		if other != g {
+			return false
+		}
+		q.waiting -= len(g.todo)
+		return true
+	})
+	g.todo = nil
+}
+
+// Expired removes and returns the groups whose deadline has passed.
+func (q *Queue) Expired(now time.Time) []*Group {
+	var out []*Group
+	for _, g := range q.groups {
+		if !now.Before(g.Deadline) {
+			out = append(out, g)
+		}
+	}
+	for _, g := range out {
+		q.Remove(g)
+	}
+	return out
+}
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -33,6 +33,8 @@
 	quota   *quota.Quota
 	orders  *fence.Register
 	counts  map[countKey]count
+	// adopted is the site document, nil for none.
+	adopted *statepb.Adopted
 }
 
 // New returns a Machine whose document is text, at index 1.
@@ -69,6 +71,7 @@
 		quota:   quota.Restore(s.Windows),
 		orders:  fence.Restore(s.Orders),
 		counts:  make(map[countKey]count),
+		adopted: s.Adopted,
 	}
 	for _, c := range s.Counts {
 		m.counts[countKey{c.Service, c.Account, c.Day}] = count{calls: c.Calls, refused: c.Refused}
@@ -88,6 +91,7 @@
 		Windows:     m.quota.All(),
 		Counts:      m.Counts(),
 		Orders:      m.orders.All(),
+		Adopted:     m.adopted,
 	}
 	return proto.MarshalOptions{Deterministic: true}.Marshal(s)
 }
@@ -119,6 +123,8 @@
 		return m.grant(body.Grant)
 	case *statepb.Command_Order:
 		return &statepb.Result{Kind: statepb.ResultKind_RESULT_KIND_OK, Number: m.orders.Issue(index, m.nowMs, body.Order)}
+	case *statepb.Command_Adopt:
+		return m.adopt(index, body.Adopt)
 	case *statepb.Command_Sweep:
 		return m.sweep()
 	default:
--- a/internal/state/quorum/election.go
+++ b/internal/state/quorum/election.go
@@ -42,6 +42,7 @@
 		n.heartbeat()
 	}
 	n.promote()
+	n.retire()
 }
 
 func (n *Node) becomeFollower(term, lead uint64) {
--- a/internal/state/quorum/node.go
+++ b/internal/state/quorum/node.go
@@ -45,6 +45,11 @@
 	ElectionTicks int
 	// HeartbeatTicks is the number of ticks between heartbeats.
 	HeartbeatTicks int
+	// Voters is the number of voters to return to once more have joined; 0
+	// keeps all.
+	Voters int
+	// RetireTicks is the silence after which a voter too many is removed.
+	RetireTicks int
 	// Jitter returns a number in [0, n) that spreads the elections.
 	Jitter func(n int) int
 }
--- a/internal/state/quorum/replicate.go
+++ b/internal/state/quorum/replicate.go
@@ -356,6 +356,24 @@
 	}
 }
 
+// retire removes one voter that has been silent for long, while there are more
+// voters than wanted.
+func (n *Node) retire() {
+	if n.cfg.Voters == 0 || len(n.voters.GetVoters()) <= n.cfg.Voters || !n.mayChangeVoters() {
+		return
+	}
+	for _, id := range n.voters.GetVoters() {
+		if id == n.cfg.ID || n.peers[id] == nil || n.peers[id].quiet < n.cfg.RetireTicks {
+			continue
+		}
+		next := proto.Clone(n.voters).(*statepb.Voters)
+		next.Voters = without(next.Voters, id)
+		delete(next.Names, id)
+		n.appendOwn([]*statepb.Entry{{Voters: next}})
+		return
+	}
+}
+
 func (n *Node) mayChangeVoters() bool {
 	return n.ownTermCommitted() && n.votersIndex <= n.commit && n.transfer == 0
 }
