front/gateway: place a request by the last part of its prompt that others share

Cause: requests were placed by the hash of the last part, which belongs to the request or its session alone, so a shared part was read on many engines.

--- a/internal/front/gateway/request.go
+++ b/internal/front/gateway/request.go
@@ -159,7 +159,7 @@
 
 // ownParts is the number of parts at the end of a prompt that belong to the
 // request or its session.
-const ownParts = 0
+const ownParts = 1
 
 // inputZones returns nothing yet: the makers' zones are not known here.
 func (q *request) inputZones() []string { return nil }
