--- a/internal/beside/pieces/call.go
+++ b/internal/beside/pieces/call.go
@@ -110,6 +110,12 @@
 	now := time.Now()
 	s := p.state(u.ID)
 	s.busy--
+	for i, piece := range batch {
+		s.room.reserved -= piece.Group.ResultBytes
+		if i < len(outputs) && outputs[i].Reason == None {
+			s.room.hold(outputs[i].Handle, result{bytes: piece.Group.ResultBytes, until: now.Add(p.hold)})
+		}
+	}
 	var unused []string
 	if failed != nil {
 		p.failed(now, u, s, batch, failed)
@@ -211,13 +217,28 @@
 	for _, u := range o.cfg.Upstreams(service) {
 		if held := byAddress[u.Address]; len(held) > 0 && o.ctx.Err() == nil {
 			o.wg.Add(1)
-			go o.free(direct.Target{ID: u.ID, Address: u.Address}, held)
+			go func() {
+				defer o.wg.Done()
+				o.free(direct.Target{ID: u.ID, Address: u.Address}, held)
+				o.freed(service, u.ID, held)
+			}()
 		}
 	}
 }
 
+// freed notes that an upstream has memory again.
+func (o *Owner) freed(service, id string, handles []string) {
+	p, ok := o.pool(service)
+	if !ok {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state(id).room.free(handles)
+	p.pump(time.Now())
+}
+
 func (o *Owner) free(t direct.Target, handles []string) {
-	defer o.wg.Done()
 	ctx, cancel := context.WithTimeout(o.ctx, freeTimeout)
 	defer cancel()
 	request, err := o.cfg.Wire.Free(t, handles)
--- a/internal/beside/pieces/order.go
+++ b/internal/beside/pieces/order.go
@@ -23,6 +23,8 @@
 	Rank  int
 	Worth float64
 	Zone  string
+	// ResultBytes is the size of the result of a piece.
+	ResultBytes int64
 }
 
 // Result is how an Order ended: Made, Refused or Failed.
--- a/internal/beside/pieces/owner.go
+++ b/internal/beside/pieces/owner.go
@@ -68,6 +68,10 @@
 	waiters map[*gather.Group]*waiter
 	states  map[string]*upstreamState
 	timer   *time.Timer
+	// roomBytes is the memory for results of each upstream.
+	roomBytes int64
+	// hold is how long a result is kept that is not given back.
+	hold time.Duration
 }
 
 type waiter struct {
@@ -79,6 +83,7 @@
 
 type upstreamState struct {
 	busy    int
+	room    room
 	restTil time.Time
 	// pace is how many times its expected time a call takes.
 	pace float64
@@ -112,6 +117,8 @@
 	}
 	p.mu.Lock()
 	p.queue.Configure(cfg)
+	p.roomBytes = described.Pieces.RoomBytes
+	p.hold = described.Pieces.Hold
 	p.mu.Unlock()
 	return p, true
 }
@@ -141,6 +148,8 @@
 		Rank:      order.Rank,
 		Worth:     order.Worth,
 		Zone:      order.Zone,
+
+		ResultBytes: order.ResultBytes,
 	}, order.Pieces)
 	w, refused := p.push(now, g)
 	if refused != nil {
@@ -232,9 +241,9 @@
 		return int(8*p.state(a.ID).pace) - int(8*p.state(b.ID).pace)
 	})
 	for i, u := range idle {
-		batch := p.queue.Batch(now, len(idle)-i)
+		batch := p.queue.Batch(now, len(idle)-i, p.roomBytes-p.state(u.ID).room.used(now))
 		if len(batch) == 0 {
-			break
+			continue
 		}
 		p.start(now, u, batch)
 	}
@@ -261,8 +270,10 @@
 }
 
 func (p *pool) start(now time.Time, u roster.Upstream, batch []gather.Piece) {
-	p.state(u.ID).busy++
+	s := p.state(u.ID)
+	s.busy++
 	for _, piece := range batch {
+		s.room.reserved += piece.Group.ResultBytes
 		if w := p.waiters[piece.Group]; w != nil {
 			w.last = now
 		}
--- a/internal/beside/pieces/remote.go
+++ b/internal/beside/pieces/remote.go
@@ -34,6 +34,8 @@
 		Rank:    int32(o.Rank),
 		Worth:   o.Worth,
 		Zone:    o.Zone,
+
+		ResultBytes: o.ResultBytes,
 	}
 }
 
@@ -51,6 +53,8 @@
 		Rank:      int(m.Rank),
 		Worth:     m.Worth,
 		Zone:      m.Zone,
+
+		ResultBytes: m.ResultBytes,
 	}
 }
 
--- a/internal/front/gateway/stages.go
+++ b/internal/front/gateway/stages.go
@@ -108,6 +108,8 @@
 		Rest:      q.rest(i),
 		Rank:      q.rank,
 		Zone:      q.server.cfg.Zone,
+
+		ResultBytes: stage.ResultBytes,
 	}
 	if len(order.Inputs) == 0 {
 		order.Key = q.PieceKey
--- a/internal/serve/gather/group.go
+++ b/internal/serve/gather/group.go
@@ -22,6 +22,8 @@
 	Rank  int
 	Worth float64
 	Zone  string
+	// ResultBytes is the size of the result of a piece.
+	ResultBytes int64
 
 	handles []string
 	todo    []int
--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -68,8 +68,9 @@
 
 // Batch takes the pieces of the next call. idle is the number of upstreams
 // that are free, the one that the call goes to included: few pieces are spread
-// over them.
-func (q *Queue) Batch(now time.Time, idle int) []Piece {
+// over them. room is the memory for results that the upstream has left; pieces
+// that do not fit wait for another.
+func (q *Queue) Batch(now time.Time, idle int, room int64) []Piece {
 	if q.waiting == 0 {
 		return nil
 	}
@@ -78,7 +79,8 @@
 	var out []Piece
 	kept := q.groups[:0]
 	for _, g := range q.groups {
-		took := min(n-len(out), len(g.todo))
+		took := min(n-len(out), len(g.todo), g.fitting(room))
+		room -= int64(took) * g.ResultBytes
 		for _, i := range g.todo[:took] {
 			out = append(out, Piece{Group: g, Index: i})
 		}
@@ -96,6 +98,14 @@
 	return out
 }
 
+// fitting is the number of results that fit into room.
+func (g *Group) fitting(room int64) int {
+	if g.ResultBytes <= 0 {
+		return len(g.todo)
+	}
+	return int(max(0, room) / g.ResultBytes)
+}
+
 // leastBatch is the number of pieces below which spreading over idle upstreams
 // gains too little time for the call that it costs.
 func (q *Queue) leastBatch() int {
