--- /dev/null
+++ b/internal/beside/direct/direct_test.go
@@ -0,0 +1,299 @@
+package direct
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// scripted is an upstream that answers each request with the next text of its
+// script, and counts connections and requests.
+type scripted struct {
+	address     string
+	connections atomic.Int64
+	requests    atomic.Int64
+	mu          sync.Mutex
+	heads       []string
+}
+
+// after says what an upstream does once it has written an answer.
+type after int
+
+const (
+	stay after = iota
+	closeConn
+	resetConn
+)
+
+type answer struct {
+	text string
+	then after
+	// early answers before the body is read.
+	early bool
+}
+
+func serve(t *testing.T, script ...answer) *scripted {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	s := &scripted{address: ln.Addr().String()}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.connections.Add(1)
+			go s.run(c, script)
+		}
+	}()
+	return s
+}
+
+func (s *scripted) run(c net.Conn, script []answer) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		i := int(s.requests.Add(1)) - 1
+		if i >= len(script) {
+			return
+		}
+		a := script[i]
+		if !a.early {
+			body, _ := io.ReadAll(r.Body)
+			s.mu.Lock()
+			s.heads = append(s.heads, fmt.Sprintf("%s %s %s %q", r.Method, r.RequestURI, r.Host, body))
+			s.mu.Unlock()
+		}
+		io.WriteString(c, strings.ReplaceAll(a.text, "ID", r.Header.Get("Id")))
+		switch a.then {
+		case closeConn:
+			return
+		case resetConn:
+			c.(*net.TCPConn).SetLinger(0)
+			return
+		}
+	}
+}
+
+func newPool(t *testing.T) *Pool {
+	p := NewPool(Config{
+		Classify: func(status int, h http.Header) Reply {
+			return Reply{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
+		},
+		Log: zap.NewNop(),
+	})
+	t.Cleanup(func() { p.Close() })
+	return p
+}
+
+func (s *scripted) target() Target { return Target{ID: "u1", Address: s.address} }
+
+func request(id string) Request {
+	return Request{ID: id, Method: http.MethodPost, URI: "/a%2Fb//c?x=1&y", Host: "a.example", Header: http.Header{"Id": {id}}, Body: []byte("body " + id)}
+}
+
+const good = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nok"
+
+// send returns a word for how a send ended, with the body of an answer.
+func send(t *testing.T, p *Pool, to Target, r Request) string {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	switch o := p.Send(ctx, to, r).(type) {
+	case *Answered:
+		body, err := io.ReadAll(o.Body)
+		o.Close()
+		if err != nil {
+			return fmt.Sprintf("broken %d", o.Status)
+		}
+		return fmt.Sprintf("answered %d %s", o.Status, body)
+	case Rejected:
+		return fmt.Sprintf("rejected %d", o.Status)
+	case NotSent:
+		return "not sent"
+	case Unknown:
+		return "unknown"
+	default:
+		return fmt.Sprintf("%T", o)
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	long := strings.Repeat("x", 1<<20)
+	tests := []struct {
+		name   string
+		script []answer
+		body   string
+		want   string
+	}{
+		{"whole answer", []answer{{text: good}}, "", "answered 200 ok"},
+		{"answer by chunks", []answer{{text: "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"}}, "", "answered 200 ok"},
+		{"answer that ends with its connection", []answer{{text: "HTTP/1.1 200 OK\r\nId: ID\r\n\r\nok", then: closeConn}}, "", "answered 200 ok"},
+		{"answer that ends by a reset", []answer{{text: "HTTP/1.1 200 OK\r\nId: ID\r\n\r\nok", then: resetConn}}, "", "broken 200"},
+		{"answer short of its length", []answer{{text: "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 9\r\n\r\nok", then: closeConn}}, "", "broken 200"},
+		{"chunks that break off", []answer{{text: "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", then: closeConn}}, "", "broken 200"},
+		{"no answer", []answer{{then: closeConn}}, "", "unknown"},
+		{"reset", []answer{{then: resetConn}}, "", "unknown"},
+		{"no response in the protocol", []answer{{text: "what?\r\n\r\n", then: closeConn}}, "", "unknown"},
+		{"not run", []answer{{text: "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"}}, "", "rejected 503"},
+		{"another upstream", []answer{{text: "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n"}}, "", "rejected 421"},
+		{"failure that ran", []answer{{text: "HTTP/1.1 503 Broken\r\nId: ID\r\nContent-Length: 2\r\n\r\nno"}}, "", "answered 503 no"},
+		{"informational first", []answer{{text: "HTTP/1.1 102 Wait\r\n\r\n" + good}}, "", "answered 200 ok"},
+		{"answer before the body was read", []answer{{text: "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", early: true, then: closeConn}}, long, "rejected 503"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := serve(t, tt.script...)
+			r := request("r1")
+			if tt.body != "" {
+				r.Body = []byte(tt.body)
+			}
+			if got := send(t, newPool(t), s.target(), r); got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+			if got, want := s.requests.Load(), int64(1); got != want {
+				t.Errorf("the upstream saw %d requests, want %d", got, want)
+			}
+		})
+	}
+}
+
+func TestRequestGoesOutAsGiven(t *testing.T) {
+	s := serve(t, answer{text: good})
+	send(t, newPool(t), s.target(), request("r1"))
+	if got, want := s.heads[0], `POST /a%2Fb//c?x=1&y a.example "body r1"`; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
+
+func TestUnreachableIsNotSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	address := ln.Addr().String()
+	ln.Close()
+	if got, want := send(t, newPool(t), Target{ID: "u1", Address: address}, request("r1")), "not sent"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// A connection is used again only after an answer that left nothing behind.
+func TestConnectionsKept(t *testing.T) {
+	tests := []struct {
+		name   string
+		script []answer
+		want   string
+		conns  int64
+	}{
+		{"kept", []answer{{text: good}, {text: good}}, "answered 200 ok", 1},
+		{"closed by the upstream", []answer{{text: good, then: closeConn}, {text: good}}, "answered 200 ok", 2},
+		{"said to close", []answer{{text: "HTTP/1.1 200 OK\r\nId: ID\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"}, {text: good}}, "answered 200 ok", 2},
+		{"a second answer behind the first", []answer{{text: good + "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 5\r\n\r\nwrong"}, {text: good}}, "answered 200 ok", 2},
+		{"stray bytes behind the answer", []answer{{text: good + "xyz"}, {text: good}}, "answered 200 ok", 2},
+		{"answer to another request first", []answer{{text: good}, {text: "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong" + good}}, "answered 200 ok", 1},
+		{"answer without a name on a used connection", []answer{{text: good}, {text: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", then: closeConn}}, "unknown", 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := serve(t, tt.script...)
+			p := newPool(t)
+			if got, want := send(t, p, s.target(), request("r1")), "answered 200 ok"; got != want {
+				t.Fatalf("first: got %q, want %q", got, want)
+			}
+			time.Sleep(20 * time.Millisecond)
+			if got := send(t, p, s.target(), request("r2")); got != tt.want {
+				t.Errorf("second: got %q, want %q", got, tt.want)
+			}
+			if got := s.connections.Load(); got != tt.conns {
+				t.Errorf("%d connections, want %d", got, tt.conns)
+			}
+		})
+	}
+}
+
+// A request on a kept connection that breaks is never sent again.
+func TestNothingIsSentTwice(t *testing.T) {
+	s := serve(t, answer{text: good}, answer{then: closeConn}, answer{text: good})
+	p := newPool(t)
+	send(t, p, s.target(), request("r1"))
+	if got, want := send(t, p, s.target(), request("r2")), "unknown"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if got, want := s.requests.Load(), int64(2); got != want {
+		t.Errorf("the upstream saw %d requests, want %d", got, want)
+	}
+}
+
+func TestReusedAddressIsDialledAnew(t *testing.T) {
+	s := serve(t, answer{text: good}, answer{text: good})
+	p := newPool(t)
+	send(t, p, s.target(), request("r1"))
+	send(t, p, Target{ID: "u2", Address: s.address}, request("r2"))
+	if got, want := s.connections.Load(), int64(2); got != want {
+		t.Errorf("%d connections, want %d", got, want)
+	}
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	s := serve(t, answer{text: "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 9\r\n\r\nok"}, answer{text: good})
+	p := newPool(t)
+	to := s.target()
+	to.MaxConnections = 1
+	first := p.Send(context.Background(), to, request("r1")).(*Answered)
+	if got, want := send(t, p, to, request("r2")), "not sent"; got != want {
+		t.Errorf("over the bound: got %q, want %q", got, want)
+	}
+	first.Close()
+	if got, want := send(t, p, to, request("r3")), "answered 200 ok"; got != want {
+		t.Errorf("after a close: got %q, want %q", got, want)
+	}
+}
+
+// Who leaves has the connection closed, which tells the upstream to stop.
+func TestCancelClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, c)
+		close(closed)
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	o := newPool(t).Send(ctx, Target{ID: "u1", Address: ln.Addr().String()}, request("r1"))
+	if _, ok := o.(Unknown); !ok {
+		t.Errorf("got %T, want Unknown", o)
+	}
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Error("the upstream's connection is still open")
+	}
+}
--- /dev/null
+++ b/internal/front/gateway/gateway_test.go
@@ -0,0 +1,507 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"hawthornhub.example/hawthornhub/internal/beside/direct"
+	"hawthornhub.example/hawthornhub/internal/beside/pieces"
+	"hawthornhub.example/hawthornhub/internal/fleet/roster"
+	"hawthornhub.example/hawthornhub/internal/serve/place"
+	"hawthornhub.example/hawthornhub/internal/state/site"
+)
+
+// testWire spells headers as the tests do.
+func testWire() Wire {
+	return Wire{
+		Attributes: func(h http.Header) (Attributes, error) {
+			left, _ := strconv.Atoi(h.Get("Left-Ms"))
+			a := Attributes{ID: h.Get("Id"), Key: h.Get("Key"), Left: time.Duration(left) * time.Millisecond, PieceKey: "pk"}
+			for _, n := range strings.Split(h.Get("Pieces"), ",") {
+				if n != "" {
+					v, _ := strconv.Atoi(n)
+					a.Pieces = append(a.Pieces, v)
+				}
+			}
+			return a, nil
+		},
+		Forward: func(h http.Header, f Forwarding) http.Header {
+			out := http.Header{"Id": {h.Get("Id")}, "Account": {f.Account}, "Target": {f.Upstream}}
+			if f.After != "" {
+				out.Set("After", f.After)
+			}
+			if len(f.Inputs) > 0 {
+				out.Set("Inputs", strings.Join(f.Inputs, ","))
+			}
+			return out
+		},
+		Return: func(h http.Header) http.Header {
+			out := h.Clone()
+			out.Del("Connection")
+			return out
+		},
+	}
+}
+
+func classify(_ int, h http.Header) direct.Reply {
+	return direct.Reply{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != ""}
+}
+
+// upstream is a stand-in whose handler may hijack the connection.
+type upstream struct {
+	*httptest.Server
+	runs atomic.Int64
+}
+
+func newUpstream(t *testing.T, handle http.HandlerFunc) *upstream {
+	u := &upstream{}
+	u.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		u.runs.Add(1)
+		w.Header().Set("Id", r.Header.Get("Id"))
+		handle(w, r)
+	}))
+	t.Cleanup(u.Close)
+	return u
+}
+
+func ok(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	fmt.Fprintf(w, "%s %s %s %s", r.Method, r.RequestURI, r.Header.Get("Account"), body)
+}
+
+func fail(w http.ResponseWriter, _ *http.Request) {
+	http.Error(w, "broken", http.StatusInternalServerError)
+}
+
+func reject(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// drop reads the request and closes the connection.
+func drop(w http.ResponseWriter, r *http.Request) {
+	io.Copy(io.Discard, r.Body)
+	panic(http.ErrAbortHandler)
+}
+
+// writeEvents writes events from one after the header After up to n; a negative n
+// breaks off in the middle of event -n.
+func writeEvents(n int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		from, _ := strconv.Atoi(r.Header.Get("After"))
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := from + 1; i <= max(n, -n); i++ {
+			if i == -n {
+				fmt.Fprintf(w, "id: %d\nda", i)
+				w.(http.Flusher).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+			w.(http.Flusher).Flush()
+		}
+	}
+}
+
+type fixture struct {
+	*Server
+	url      string
+	mu       sync.Mutex
+	orders   []pieces.Order
+	released []string
+	stages   func(o pieces.Order) pieces.Result
+}
+
+func document(stages ...site.Stage) *site.Document {
+	route := func(name, prefix string, kind site.Kind, attempts int, resumable bool) site.Route {
+		return site.Route{Name: name, Host: "a.example", Prefix: prefix, Kind: kind, Attempts: attempts, Resumable: resumable, Timeout: 2 * time.Second, Objective: time.Second, Split: []site.Share{{Service: "s", Weight: 1}}}
+	}
+	staged := route("staged", "/staged/", site.Streaming, 1, false)
+	staged.Stages = stages
+	quick := route("quick", "/quick/", site.Unsafe, 1, false)
+	quick.Timeout = 200 * time.Millisecond
+	open := route("open", "/open/", site.Safe, 1, false)
+	open.Anonymous = true
+	return &site.Document{
+		Version:  1,
+		Services: []site.Service{{Name: "s"}, {Name: "p", Pieces: &site.Pieces{Batch: 4, Slots: 1, Call: time.Millisecond, Item: time.Millisecond}}},
+		Routes: []site.Route{
+			route("safe", "/safe/", site.Safe, 2, false), route("unsafe", "/unsafe/", site.Unsafe, 2, false), route("once", "/once/", site.Unsafe, 1, false),
+			route("stream", "/stream/", site.Streaming, 2, false), route("resume", "/resume/", site.Streaming, 2, true), staged, quick, open,
+		},
+		Accounts: []site.Account{{Name: "north", Keys: []string{"k"}}},
+		Limits:   site.Limits{BodyBytes: 100},
+	}
+}
+
+// newFixture starts a gateway whose requests go to the upstreams in order.
+func newFixture(t *testing.T, d *site.Document, upstreams ...string) *fixture {
+	t.Helper()
+	if err := d.Validate(); err != nil {
+		t.Fatalf("document: %v", err)
+	}
+	var list []roster.Upstream
+	for i, address := range upstreams {
+		list = append(list, roster.Upstream{ID: fmt.Sprint("u", i), Service: "s", Address: strings.TrimPrefix(address, "http://"), Slots: 4, State: roster.Ready, Heard: time.Now()})
+	}
+	pool := direct.NewPool(direct.Config{Classify: classify, Log: zap.NewNop()})
+	f := &fixture{}
+	f.Server = NewServer(Config{
+		Wire:      testWire(),
+		Send:      pool.Send,
+		Upstreams: func(string) []roster.Upstream { return list },
+		Stages: func(_ context.Context, o pieces.Order) pieces.Result {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.orders = append(f.orders, o)
+			return f.stages(o)
+		},
+		Wait: func(string) time.Duration { return 0 },
+		Release: func(_ string, handles []string) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.released = append(f.released, handles...)
+		},
+		Place:   place.New(place.Config{Random: func(int) int { return 0 }}),
+		Entries: func() int { return 1 },
+		Retry:   RetryLimit{Ratio: 0.2, Slack: 20},
+		Metrics: tally.NoopScope,
+		Log:     zap.NewNop(),
+	})
+	f.Configure(site.NewIndex(d))
+	srv := httptest.NewServer(f.Server)
+	f.url = srv.URL
+	t.Cleanup(func() {
+		srv.Close()
+		pool.Close()
+	})
+	return f
+}
+
+// call returns the status, the body and how the body ended.
+func (f *fixture) call(t *testing.T, path string, headers ...string) (*http.Response, string, error) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, f.url+path, strings.NewReader("body"))
+	if err != nil {
+		t.Fatalf("request: %v", err)
+	}
+	r.Host = "a.example"
+	r.Header = http.Header{"Id": {"r1"}, "Key": {"k"}}
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+func TestWhatMayBeSentAgain(t *testing.T) {
+	refused, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	nobody := "http://" + refused.Addr().String()
+	refused.Close()
+	tests := []struct {
+		name   string
+		path   string
+		first  http.HandlerFunc
+		status int
+		runs   [2]int64
+	}{
+		{"an answer is passed on", "/once/x", ok, 200, [2]int64{1, 0}},
+		{"a failure of a safe request", "/safe/x", fail, 200, [2]int64{1, 1}},
+		{"a failure of an unsafe request", "/unsafe/x", fail, 500, [2]int64{1, 0}},
+		{"a lost answer to a safe request", "/safe/x", drop, 200, [2]int64{1, 1}},
+		{"a lost answer to an unsafe request", "/unsafe/x", drop, 502, [2]int64{1, 0}},
+		{"a lost stream that may not run twice", "/stream/x", drop, 502, [2]int64{1, 0}},
+		{"a lost stream that may be resumed", "/resume/x", drop, 200, [2]int64{1, 1}},
+		{"an unsafe request that was not run", "/unsafe/x", reject, 200, [2]int64{1, 1}},
+		{"one upstream only", "/once/x", reject, 503, [2]int64{1, 0}},
+		{"an unreachable upstream", "/once/x", nil, 200, [2]int64{0, 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			second := newUpstream(t, ok)
+			if strings.HasPrefix(tt.path, "/resume") {
+				second = newUpstream(t, writeEvents(2))
+			}
+			first := &upstream{}
+			address := nobody
+			if tt.first != nil {
+				first = newUpstream(t, tt.first)
+				address = first.URL
+			}
+			f := newFixture(t, document(), address, second.URL)
+			resp, _, err := f.call(t, tt.path)
+			if err != nil {
+				t.Fatalf("call: %v", err)
+			}
+			if got := resp.StatusCode; got != tt.status {
+				t.Errorf("status %d, want %d", got, tt.status)
+			}
+			if got := [2]int64{first.runs.Load(), second.runs.Load()}; got != tt.runs {
+				t.Errorf("runs %v, want %v", got, tt.runs)
+			}
+			if tt.status == 503 && resp.Header.Get("Retry-After") == "" {
+				t.Error("no word when to come back")
+			}
+		})
+	}
+}
+
+func TestRequestsThatAreNotServed(t *testing.T) {
+	u := newUpstream(t, ok)
+	f := newFixture(t, document(), u.URL)
+	for _, tt := range []struct {
+		path    string
+		headers []string
+		want    int
+	}{
+		{"/none/x", nil, 404},
+		{"/safe", nil, 404},
+		{"/safe/x", []string{"Key", "other"}, 401},
+		{"/open/x", []string{"Key", ""}, 200},
+	} {
+		resp, _, err := f.call(t, tt.path, tt.headers...)
+		if err != nil {
+			t.Fatalf("%s: %v", tt.path, err)
+		}
+		if got := resp.StatusCode; got != tt.want {
+			t.Errorf("%s: status %d, want %d", tt.path, got, tt.want)
+		}
+	}
+	r, _ := http.NewRequest(http.MethodPost, f.url+"/safe/x", strings.NewReader(strings.Repeat("x", 101)))
+	r.Host, r.Header = "a.example", http.Header{"Key": {"k"}}
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatalf("long body: %v", err)
+	}
+	resp.Body.Close()
+	if got, want := resp.StatusCode, 413; got != want {
+		t.Errorf("long body: status %d, want %d", got, want)
+	}
+	if got, want := u.runs.Load(), int64(1); got != want {
+		t.Errorf("%d runs, want %d", got, want)
+	}
+}
+
+func TestNoDocumentYet(t *testing.T) {
+	s := NewServer(Config{Wire: testWire(), Metrics: tally.NoopScope, Log: zap.NewNop()})
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/x", nil))
+	if got, want := w.Code, http.StatusServiceUnavailable; got != want {
+		t.Errorf("status %d, want %d", got, want)
+	}
+}
+
+func TestOlderDocumentIsNotTaken(t *testing.T) {
+	f := newFixture(t, document())
+	newer := document()
+	newer.Version = 5
+	f.Configure(site.NewIndex(newer))
+	f.Configure(site.NewIndex(document()))
+	if got, want := f.Index().Version, uint64(5); got != want {
+		t.Errorf("version %d, want %d", got, want)
+	}
+}
+
+func TestStreams(t *testing.T) {
+	tests := []struct {
+		name          string
+		path          string
+		first, second http.HandlerFunc
+		events        int
+		broken        bool
+	}{
+		{"whole", "/stream/x", writeEvents(4), writeEvents(4), 4, false},
+		{"broken in an event", "/stream/x", writeEvents(-3), writeEvents(4), 2, true},
+		{"resumed after the last whole event", "/resume/x", writeEvents(-3), writeEvents(6), 6, false},
+		{"broken twice", "/resume/x", writeEvents(-3), writeEvents(-5), 4, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, document(), newUpstream(t, tt.first).URL, newUpstream(t, tt.second).URL)
+			_, body, err := f.call(t, tt.path)
+			want := ""
+			for i := 1; i <= tt.events; i++ {
+				want += fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+			}
+			if body != want {
+				t.Errorf("got %q, want %q", body, want)
+			}
+			if broken := errors.Is(err, io.ErrUnexpectedEOF); broken != tt.broken {
+				t.Errorf("looks broken to the caller: %t (%v), want %t", broken, err, tt.broken)
+			}
+		})
+	}
+}
+
+func TestTimeIsOver(t *testing.T) {
+	u := newUpstream(t, func(_ http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	})
+	f := newFixture(t, document(), u.URL)
+	began := time.Now()
+	resp, _, err := f.call(t, "/quick/x")
+	if err != nil {
+		t.Fatalf("call: %v", err)
+	}
+	if got, want := resp.StatusCode, http.StatusGatewayTimeout; got != want {
+		t.Errorf("status %d, want %d", got, want)
+	}
+	if took := time.Since(began); took > 700*time.Millisecond {
+		t.Errorf("answered after %v, want within half a second of the route's timeout", took)
+	}
+}
+
+// An upstream is told within half a second that the caller has left.
+func TestCallerLeaves(t *testing.T) {
+	arrived, left := make(chan struct{}), make(chan struct{})
+	u := newUpstream(t, func(_ http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		close(arrived)
+		<-r.Context().Done()
+		close(left)
+	})
+	f := newFixture(t, document(), u.URL)
+	ctx, cancel := context.WithCancel(context.Background())
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, f.url+"/once/x", strings.NewReader("body"))
+	r.Host, r.Header = "a.example", http.Header{"Key": {"k"}, "Id": {"r1"}}
+	go http.DefaultTransport.RoundTrip(r)
+	<-arrived
+	cancel()
+	select {
+	case <-left:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the upstream still works half a second after the caller left")
+	}
+}
+
+func TestDrainClosesConnections(t *testing.T) {
+	f := newFixture(t, document(), newUpstream(t, ok).URL)
+	f.Drain()
+	resp, _, err := f.call(t, "/safe/x")
+	if err != nil {
+		t.Fatalf("call: %v", err)
+	}
+	if !resp.Close {
+		t.Error("the connection is kept while draining")
+	}
+}
+
+// chain is two stages in a row with another beside them.
+func chain() []site.Stage {
+	return []site.Stage{{Service: "p"}, {Service: "p", After: []int{0}}, {Service: "p"}}
+}
+
+func made(o pieces.Order) pieces.Result {
+	var handles []string
+	for i := range o.Pieces {
+		handles = append(handles, fmt.Sprintf("h%d.%d", o.Stage, i))
+	}
+	return pieces.Made{Handles: handles}
+}
+
+func TestStagesFeedTheRequest(t *testing.T) {
+	var inputs string
+	f := newFixture(t, document(chain()...), newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		inputs = r.Header.Get("Inputs")
+		writeEvents(1)(w, r)
+	}).URL)
+	f.stages = made
+	if _, _, err := f.call(t, "/staged/x", "Pieces", "2,1,1"); err != nil {
+		t.Fatalf("call: %v", err)
+	}
+	if want := "h1.0,h2.0"; inputs != want {
+		t.Errorf("the engine got %q, want %q", inputs, want)
+	}
+	for _, o := range f.orders {
+		if o.Stage == 1 && fmt.Sprintf("%v %q", o.Inputs, o.Key) != `[h0.0 h0.1] ""` {
+			t.Errorf("stage 1 got inputs %v and key %q", o.Inputs, o.Key)
+		}
+		if o.Stage != 1 && (o.Key != "pk" || o.Inputs != nil) {
+			t.Errorf("stage %d got inputs %v and key %q", o.Stage, o.Inputs, o.Key)
+		}
+	}
+	if got, want := len(f.released), 4; got != want {
+		t.Errorf("%d results given back, want %d", got, want)
+	}
+}
+
+func TestStageRefused(t *testing.T) {
+	u := newUpstream(t, ok)
+	f := newFixture(t, document(chain()...), u.URL)
+	f.stages = func(o pieces.Order) pieces.Result {
+		if o.Stage == 1 {
+			return pieces.Refused{Retry: 1500 * time.Millisecond}
+		}
+		return made(o)
+	}
+	resp, _, err := f.call(t, "/staged/x", "Pieces", "2,1,1")
+	if err != nil {
+		t.Fatalf("call: %v", err)
+	}
+	if got, want := fmt.Sprintf("%d %s", resp.StatusCode, resp.Header.Get("Retry-After")), "503 1.500"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+	if got, want := u.runs.Load(), int64(0); got != want {
+		t.Errorf("%d runs, want %d", got, want)
+	}
+	if got, want := len(f.released), 3; got != want {
+		t.Errorf("%d results given back, want %d", got, want)
+	}
+}
+
+// Results that expired are made again, once they are found to be gone by the
+// next stage or by the engine.
+func TestExpiredResultsAreMadeAgain(t *testing.T) {
+	engineMisses := true
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		if engineMisses {
+			engineMisses = false
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+		writeEvents(1)(w, r)
+	})
+	f := newFixture(t, document(chain()...), u.URL)
+	gone := true
+	f.stages = func(o pieces.Order) pieces.Result {
+		if o.Stage == 1 && gone {
+			gone = false
+			return pieces.Failed{InputsGone: true, Err: errors.New("gone")}
+		}
+		return made(o)
+	}
+	resp, body, err := f.call(t, "/staged/x", "Pieces", "1,1,1")
+	if err != nil || resp.StatusCode != http.StatusOK || body == "" {
+		t.Fatalf("got %v %q %v, want the stream", resp, body, err)
+	}
+	counts := make(map[int]int)
+	for _, o := range f.orders {
+		counts[o.Stage]++
+	}
+	if got, want := fmt.Sprint(counts), "map[0:3 1:3 2:2]"; got != want {
+		t.Errorf("orders by stage %s, want %s", got, want)
+	}
+}
--- a/internal/front/gateway/request.go
+++ b/internal/front/gateway/request.go
@@ -84,6 +84,8 @@
 			q.server.refuse(w, q, f)
 			return
 		}
+		// The upstream is as good as any other once the results are there.
+		q.tried = nil
 	}
 }
 
--- /dev/null
+++ b/internal/state/site/site_test.go
@@ -0,0 +1,74 @@
+package site
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+)
+
+func valid() *Document {
+	return &Document{
+		Version: 7,
+		Services: []Service{
+			{Name: "llm"},
+			{Name: "scan", Pieces: &Pieces{Slots: 1, Batch: 4, Call: time.Second, Item: time.Millisecond}},
+		},
+		Routes: []Route{
+			{Name: "r1", Host: "a.example", Prefix: "/plans/", Timeout: time.Second, Split: []Share{{"llm", 1}}, Stages: []Stage{{Service: "scan"}, {Service: "scan", After: []int{0}}}},
+			{Name: "r2", Host: "a.example", Prefix: "/plans/winter/", Timeout: time.Second, Split: []Share{{"llm", 1}}},
+			{Name: "r3", Host: "b.example", Prefix: "/plans/", Timeout: time.Second, Split: []Share{{"llm", 90}, {"scan", 10}}},
+		},
+		Accounts: []Account{{Name: "north", Keys: []string{"k1", "k2"}}, {Name: "south", Keys: []string{"k3"}}},
+	}
+}
+
+func TestValidate(t *testing.T) {
+	if err := valid().Validate(); err != nil {
+		t.Fatalf("a valid document is refused: %v", err)
+	}
+	for want, spoil := range map[string]func(*Document){
+		"unknown service":          func(d *Document) { d.Routes[0].Split[0].Service = "none" },
+		"route r1, stage 1":        func(d *Document) { d.Routes[0].Stages[1].Service = "none" },
+		"share a.example/plans/":   func(d *Document) { d.Routes[1].Prefix = "/plans/" },
+		"add up to 0":              func(d *Document) { d.Routes[0].Split[0].Weight = 0 },
+		"timeout must be positive": func(d *Document) { d.Routes[2].Timeout = 0 },
+		"share a key":              func(d *Document) { d.Accounts[1].Keys[0] = "k2" },
+		"use an earlier stage":     func(d *Document) { d.Routes[0].Stages[0].After = []int{1} },
+		"begin and end":            func(d *Document) { d.Routes[0].Prefix = "/plans" },
+		"batch and slots":          func(d *Document) { d.Services[1].Pieces.Batch = 0 },
+	} {
+		d := valid()
+		spoil(d)
+		err := d.Validate()
+		var fault *FaultError
+		if !errors.As(err, &fault) || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want a fault with %q", err, want)
+		}
+	}
+}
+
+func TestIndex(t *testing.T) {
+	x := NewIndex(valid())
+	for _, tt := range []struct{ host, path, want string }{
+		{"a.example", "/plans/7", "r1"},
+		{"A.Example", "/plans/winter/7", "r2"},
+		{"b.example", "/plans/winter/7", "r3"},
+		{"a.example", "/plans", ""},
+		{"c.example", "/plans/7", ""},
+	} {
+		got := ""
+		if r, ok := x.Route(tt.host, tt.path); ok {
+			got = r.Name
+		}
+		if got != tt.want {
+			t.Errorf("%s%s goes to %q, want %q", tt.host, tt.path, got, tt.want)
+		}
+	}
+	if a, ok := x.Account("k2"); !ok || a.Name != "north" {
+		t.Errorf("key k2 belongs to %v, want north", a)
+	}
+	if _, ok := x.Account(""); ok {
+		t.Error("an empty key belongs to an account")
+	}
+}
