gather, place, gateway: keep the work on a request in one availability zone

Cause: results crossed zones at random, the largest price on both sites. Requests with a common prompt now have a home zone, chosen by the hash of the prompt among the upstreams of the first stage; pieces wait up to 60 ms for an upstream of their zone, and the engine is chosen there.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -92,6 +92,7 @@
 		Stages:    g.router.Do,
 		Release:   g.router.Release,
 		Wait:      g.router.Wait,
+		ZoneOf:    g.zoneOf,
 		Place:     place.New(place.Config{Zone: s.Zone, Random: rand.IntN}),
 		Entries:   func() int { return max(1, len(g.owners())) },
 		Retry:     gateway.RetryLimit{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
@@ -178,6 +179,12 @@
 	}
 }
 
+// zoneOf returns the availability zone of the upstream that holds a result.
+func (g *gate) zoneOf(handle string) string {
+	u, _ := g.table.At(platform.Pieces().Holder(handle))
+	return u.Zone
+}
+
 func (g *gate) service(name string) (*site.Service, bool) {
 	x := g.server.Index()
 	if x == nil {
--- a/internal/fleet/roster/table.go
+++ b/internal/fleet/roster/table.go
@@ -174,6 +174,14 @@
 	return u, ok
 }
 
+// At returns the upstream that has an address.
+func (t *Table) At(address string) (Upstream, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u, ok := t.byID[t.byAddr[address]]
+	return u, ok
+}
+
 // All returns every known upstream by id, those that have left too.
 func (t *Table) All() []Upstream {
 	t.mu.Lock()
--- a/internal/front/gateway/request.go
+++ b/internal/front/gateway/request.go
@@ -159,20 +159,27 @@
 const statusGone = 499
 
 func (q *request) pick() (roster.Upstream, bool) {
-	need := place.Need{Except: q.tried, Zones: q.inputZones()}
-	if n := len(q.Prompt); n > 0 && q.route.Sticky {
-		need.Prefix = q.Prompt[max(0, n-1-ownParts)].ID
+	need := place.Need{Except: q.tried, Prefix: q.shared()}
+	if len(q.route.Stages) > 0 {
+		need.Zone = q.homeZone(q.route.Stages[0].Service)
 	}
 	return q.server.cfg.Place.Pick(time.Now(), need, q.server.cfg.Upstreams(q.service.Name))
 }
 
+// shared returns the last part of the prompt that other requests have too,
+// empty where there is none.
+func (q *request) shared() string {
+	n := len(q.Prompt)
+	if n == 0 || !q.route.Sticky {
+		return ""
+	}
+	return q.Prompt[max(0, n-1-ownParts)].ID
+}
+
 // ownParts is the number of parts at the end of a prompt that belong to the
 // request or its session.
 const ownParts = 1
 
-// inputZones returns nothing yet: the makers' zones are not known here.
-func (q *request) inputZones() []string { return nil }
-
 // try sends the request to one upstream. again says whether it may be sent to
 // another.
 func (q *request) try(ctx context.Context, u roster.Upstream) (answer *direct.Answered, f *refusal, again bool) {
--- a/internal/front/gateway/server.go
+++ b/internal/front/gateway/server.go
@@ -39,6 +39,9 @@
 	Stages func(ctx context.Context, o pieces.Order) pieces.Result
 	// Wait returns how long a new order for a service is expected to wait.
 	Wait func(service string) time.Duration
+	// ZoneOf returns the availability zone in which a result lies, empty where
+	// that is not known.
+	ZoneOf func(handle string) string
 	// Release gives the results of a stage back.
 	Release func(service string, handles []string)
 	Place   *place.Table
--- a/internal/front/gateway/stages.go
+++ b/internal/front/gateway/stages.go
@@ -149,13 +149,14 @@
 		Objective:   r.objective(i),
 		Rest:        r.rest(i),
 		Rank:        r.rank,
-		Zone:        r.server.cfg.Zone,
 		ResultBytes: stage.ResultBytes,
 	}
 	if len(o.Inputs) == 0 {
 		o.Key = r.PieceKey
+		o.Zone = r.homeZone(stage.Service)
 		return o, true
 	}
+	o.Zone = r.zoneOf(o.Inputs)
 	o.Dispatched = func() {
 		time.AfterFunc(fetchTime, func() { r.events <- stageEvent{stage: i} })
 	}
--- a/internal/serve/gather/doc.go
+++ b/internal/serve/gather/doc.go
@@ -15,6 +15,6 @@
 //	q := gather.NewQueue(gather.Config{Batch: 18, Call: call, Item: item})
 //	if wait, ok := q.Admit(now, group, free); !ok { ... } // come back after wait
 //	q.Push(group)
-//	batch := q.Batch(now, idle, room)
+//	batch := q.Batch(now, upstream)
 //	done := q.Done(batch[0], handle)
 package gather
--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -74,20 +74,37 @@
 	q.waiting += len(g.todo)
 }
 
-// Batch takes the pieces of the next call. idle is the number of upstreams
-// that are free, the one that the call goes to included: few pieces are spread
-// over them. room is the memory for results that the upstream has left; pieces
-// that do not fit wait for another.
-func (q *Queue) Batch(now time.Time, idle int, room int64) []Piece {
+// Upstream is what a call is filled for.
+type Upstream struct {
+	// Idle is the number of upstreams that are free, this one included: few
+	// pieces are spread over them.
+	Idle int
+	// Room is the memory for results that the upstream has left; pieces that
+	// do not fit wait for another.
+	Room int64
+	// Zone is its availability zone. Pieces of another wait a little for an
+	// upstream of theirs.
+	Zone string
+}
+
+// foreignWait is how long pieces wait for an upstream of their own zone.
+const foreignWait = 60 * time.Millisecond
+
+// Batch takes the pieces of the next call.
+func (q *Queue) Batch(now time.Time, to Upstream) []Piece {
 	if q.waiting == 0 {
 		return nil
 	}
 	q.sort(now)
+	idle, room := to.Idle, to.Room
 	n := min(q.cfg.Batch, max(q.leastBatch(), (q.waiting+idle-1)/max(1, idle)))
 	var out []Piece
 	kept := q.groups[:0]
 	for _, g := range q.groups {
 		took := min(n-len(out), len(g.todo), g.fitting(room))
+		if g.foreign(to.Zone) && now.Sub(g.Arrived) < foreignWait {
+			took = 0
+		}
 		room -= int64(took) * g.ResultBytes
 		for _, i := range g.todo[:took] {
 			out = append(out, Piece{Group: g, Index: i})
@@ -106,6 +123,9 @@
 	return out
 }
 
+// foreign reports whether the group belongs to another zone.
+func (g *Group) foreign(zone string) bool { return g.Zone != "" && g.Zone != zone }
+
 // fitting is the number of results that fit into room.
 func (g *Group) fitting(room int64) int {
 	if g.ResultBytes <= 0 {
@@ -150,19 +170,21 @@
 // before reports whether a goes before b: on time before late, then by rank,
 // then by slack; late ones by rank and age.
 func before(now time.Time, a, b *Group, least time.Duration) bool {
-	as, bs := a.slack(now, least), b.slack(now, least)
-	if (as >= 0) != (bs >= 0) {
-		return as >= 0
+	if a.late(now, least) != b.late(now, least) {
+		return !a.late(now, least)
 	}
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
-	if as >= 0 {
-		return as < bs
+	if a.late(now, least) {
+		return a.Arrived.Before(b.Arrived)
 	}
-	return a.Arrived.Before(b.Arrived)
+	return a.slack(now, least) < b.slack(now, least)
 }
 
+// late reports whether the group cannot be on time any more.
+func (g *Group) late(now time.Time, least time.Duration) bool { return g.slack(now, least) < 0 }
+
 // slack is the time that a group can still wait and be on time.
 func (g *Group) slack(now time.Time, least time.Duration) time.Duration {
 	return g.Objective.Sub(now) - g.Rest - least
--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -32,7 +32,7 @@
 	q.Push(group("b", 1, 1, 2*time.Second))
 	q.Push(group("c", 1, 1, time.Second))
 	q.Push(group("a", 1, 0, 2*time.Second))
-	if got, want := requests(q.Batch(t0, 1, plenty)), "acbl"; got != want {
+	if got, want := requests(q.Batch(t0, Upstream{Idle: 1, Room: plenty})), "acbl"; got != want {
 		t.Errorf("got %s, want %s", got, want)
 	}
 }
@@ -40,14 +40,14 @@
 func TestFewPiecesAreSpreadOverIdleUpstreams(t *testing.T) {
 	q := NewQueue(cfg)
 	q.Push(group("a", 12, 0, time.Second))
-	if got, want := len(q.Batch(t0, 2, plenty)), 6; got != want {
+	if got, want := len(q.Batch(t0, Upstream{Idle: 2, Room: plenty})), 6; got != want {
 		t.Errorf("first of two: %d pieces, want %d", got, want)
 	}
-	if got, want := len(q.Batch(t0, 1, plenty)), 6; got != want {
+	if got, want := len(q.Batch(t0, Upstream{Idle: 1, Room: plenty})), 6; got != want {
 		t.Errorf("second: %d pieces, want %d", got, want)
 	}
 	q.Push(group("b", 2, 0, time.Second))
-	if got, want := len(q.Batch(t0, 5, plenty)), 2; got != want {
+	if got, want := len(q.Batch(t0, Upstream{Idle: 5, Room: plenty})), 2; got != want {
 		t.Errorf("a few pieces: %d in one call, want %d", got, want)
 	}
 }
@@ -58,10 +58,10 @@
 	big.ResultBytes = 10
 	q.Push(big)
 	q.Push(group("b", 2, 1, time.Second))
-	if got, want := requests(q.Batch(t0, 1, 25)), "aabb"; got != want {
+	if got, want := requests(q.Batch(t0, Upstream{Idle: 1, Room: 25})), "aabb"; got != want {
 		t.Errorf("got %s, want %s", got, want)
 	}
-	if got, want := requests(q.Batch(t0, 1, 25)), "a"; got != want {
+	if got, want := requests(q.Batch(t0, Upstream{Idle: 1, Room: 25})), "a"; got != want {
 		t.Errorf("later: got %s, want %s", got, want)
 	}
 }
@@ -70,7 +70,7 @@
 	q := NewQueue(cfg)
 	a := group("a", 2, 0, time.Second)
 	q.Push(a)
-	batch := q.Batch(t0, 1, plenty)
+	batch := q.Batch(t0, Upstream{Idle: 1, Room: plenty})
 	q.Return(batch[0])
 	if got, want := q.Waiting(), 1; got != want {
 		t.Fatalf("%d wait after a return, want %d", got, want)
@@ -78,7 +78,7 @@
 	if q.Done(batch[1], "h1") {
 		t.Error("a group with a piece left is done")
 	}
-	again := q.Batch(t0, 1, plenty)
+	again := q.Batch(t0, Upstream{Idle: 1, Room: plenty})
 	if !q.Done(again[0], "h0") {
 		t.Error("a group whose pieces are all made is not done")
 	}
@@ -154,7 +154,7 @@
 			running[u] = call{}
 			for range owners {
 				turn = (turn + 1) % owners
-				if batch := queues[turn].Batch(now, 1, plenty); len(batch) > 0 {
+				if batch := queues[turn].Batch(now, Upstream{Idle: 1, Room: plenty}); len(batch) > 0 {
 					running[u] = call{owner: turn, batch: batch}
 					freeAt[u] = now.Add(queues[turn].Duration(len(batch)))
 					break
@@ -180,3 +180,18 @@
 		}
 	}
 }
+
+func TestZones(t *testing.T) {
+	q := NewQueue(cfg)
+	for _, zone := range []string{"a", "b", "a"} {
+		g := group(zone, 1, 0, time.Second)
+		g.Zone = zone
+		q.Push(g)
+	}
+	if got, want := requests(q.Batch(t0, Upstream{Idle: 1, Room: plenty, Zone: "a"})), "aa"; got != want {
+		t.Errorf("at once: got %s, want %s", got, want)
+	}
+	if got, want := requests(q.Batch(t0.Add(foreignWait), Upstream{Idle: 1, Room: plenty, Zone: "a"})), "b"; got != want {
+		t.Errorf("later: got %s, want %s", got, want)
+	}
+}
--- a/internal/serve/place/table.go
+++ b/internal/serve/place/table.go
@@ -46,8 +46,8 @@
 	Prefix string
 	// Except are the ids of upstreams not to use.
 	Except []string
-	// Zones are preferred availability zones, in addition to the entry's.
-	Zones []string
+	// Zone is where the inputs of the request lie; empty for none.
+	Zone string
 }
 
 // End tells how a call ended.
@@ -133,26 +133,49 @@
 }
 
 func (t *Table) best(now time.Time, need Need, able []roster.Upstream) roster.Upstream {
-	a := able[t.cfg.Random(len(able))]
-	b := able[t.cfg.Random(len(able))]
-	best := a
-	bestScore := t.score(now, need, a)
-	if s := t.score(now, need, b); s < bestScore {
-		best, bestScore = b, s
-	}
-	if need.Prefix == "" {
+	best, bestScore := t.ofTwo(now, able)
+	near := able
+	if need.Zone != "" {
+		near = inZone(need.Zone, able)
+	}
+	if len(near) == 0 {
 		return best
 	}
-	warm := warmest(need.Prefix, able)
-	if t.score(now, need, warm) <= bestScore+affinityRoom {
-		return warm
+	wanted, score := t.ofTwo(now, near)
+	if need.Prefix != "" {
+		wanted = warmest(need.Prefix, near)
+		score = t.score(now, wanted)
+	}
+	if score <= bestScore+affinityRoom {
+		return wanted
 	}
 	return best
 }
 
+// ofTwo returns the better of two upstreams drawn at random, with its score.
+func (t *Table) ofTwo(now time.Time, from []roster.Upstream) (roster.Upstream, float64) {
+	a := from[t.cfg.Random(len(from))]
+	b := from[t.cfg.Random(len(from))]
+	as, bs := t.score(now, a), t.score(now, b)
+	if bs < as {
+		return b, bs
+	}
+	return a, as
+}
+
+func inZone(zone string, from []roster.Upstream) []roster.Upstream {
+	var out []roster.Upstream
+	for _, u := range from {
+		if u.Zone == zone {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
 // score is the expected load in shares of the slots, with what speaks against
 // the upstream added; the lowest is best.
-func (t *Table) score(now time.Time, need Need, u roster.Upstream) float64 {
+func (t *Table) score(now time.Time, u roster.Upstream) float64 {
 	s := t.state(u.ID)
 	load := float64(s.inFlight)
 	if fade := 1 - now.Sub(s.reported).Seconds()/reportLife.Seconds(); fade > 0 {
@@ -164,7 +187,7 @@
 		score *= s.report.Slowness
 	}
 	score += failCost * s.failing(now)
-	if u.Zone != t.cfg.Zone && !slices.Contains(need.Zones, u.Zone) {
+	if u.Zone != t.cfg.Zone {
 		score += zoneCost
 	}
 	return score
@@ -223,6 +246,15 @@
 	return t.state(id).inFlight
 }
 
+// Warmest returns the upstream that a key hashes to, the same one on every
+// entry; false where there is none.
+func Warmest(key string, from []roster.Upstream) (roster.Upstream, bool) {
+	if len(from) == 0 {
+		return roster.Upstream{}, false
+	}
+	return warmest(key, from), true
+}
+
 // warmest returns the upstream that a prefix hashes to. Every entry finds the
 // same one.
 func warmest(prefix string, able []roster.Upstream) roster.Upstream {
