place, pieces, news: avoid an upstream after 2.2 s of silence

Cause: an engine went dark and requests were sent to it until it had been silent for 4 s; each waited 4.3 s for its connection to time out.

--- a/internal/beside/pieces/owner.go
+++ b/internal/beside/pieces/owner.go
@@ -24,7 +24,7 @@
 	restAfterFull = 60 * time.Millisecond
 	// silentAfter is the silence from which an upstream is called only when
 	// there is no other.
-	silentAfter = 4 * time.Second
+	silentAfter = 2200 * time.Millisecond
 	// patience is the multiple of its expected time after which a call is given
 	// up, and patienceLeast is added to it.
 	patience      = 3
--- a/internal/fleet/news/hub.go
+++ b/internal/fleet/news/hub.go
@@ -19,7 +19,7 @@
 	// falls further behind must watch anew.
 	watcherQueue = 256
 	// refreshEvery is the time between News that only show that upstreams live.
-	refreshEvery = 600 * time.Millisecond
+	refreshEvery = 300 * time.Millisecond
 )
 
 // HubConfig builds a Hub.
--- a/internal/serve/place/table.go
+++ b/internal/serve/place/table.go
@@ -13,7 +13,7 @@
 	// reportLife is how long a report of load counts, falling linearly.
 	reportLife = time.Second
 	// silentAfter is the silence from which an upstream is avoided.
-	silentAfter = 4 * time.Second
+	silentAfter = 2200 * time.Millisecond
 	// failShare is the weight of a new observation in a failure rate.
 	failShare = 0.2
 	// failLife is the time in which a failure rate halves without calls.
