serve/pace, gateway: hold back what cannot be on time; answer all on a stop

A draining entry refuses what it would hold back at once, what no upstream has a second before its end, and fails the rest 0.3 s before. Tests: TestStopAnswersAll, TestDrainHoldsNothingBack.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -31,6 +31,11 @@
 	callerIdle = 90 * time.Second
 	// callerHeaderBytes bounds the headers of a request.
 	callerHeaderBytes = 64 << 10
+	// stopUnsent is how long before the end of the grace period requests are
+	// refused that no upstream has yet, and stopSent how long before it those
+	// are failed that no upstream has answered.
+	stopUnsent = time.Second
+	stopSent   = 300 * time.Millisecond
 	// balancerNotices is how long the balancer may still send connections after
 	// the process has said that it is not ready.
 	balancerNotices = 3 * time.Second
@@ -228,6 +233,9 @@
 	case <-ctx.Done():
 	case <-time.After(balancerNotices):
 	}
+	end, _ := ctx.Deadline()
+	defer time.AfterFunc(time.Until(end)-stopUnsent, g.server.StopWaiting).Stop()
+	defer time.AfterFunc(time.Until(end)-stopSent, g.server.StopSent).Stop()
 	err := g.callers.Shutdown(ctx)
 	if err != nil {
 		g.log.Warn("requests cut at the end of the grace period", zap.Int64("requests", g.server.Open()), zap.Error(err))
--- a/internal/front/gateway/gateway_test.go
+++ b/internal/front/gateway/gateway_test.go
@@ -506,3 +506,71 @@
 		t.Errorf("orders by stage %s, want %s", got, want)
 	}
 }
+
+// A process that stops answers every request that it has read: those that no
+// upstream has are refused, those without an answer fail.
+func TestStopAnswersAll(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	u := newUpstream(t, func(_ http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		arrived <- struct{}{}
+		<-r.Context().Done()
+	})
+	f := newFixture(t, document(chain()...), u.URL)
+	block := make(chan struct{})
+	f.stages = func(o pieces.Order) pieces.Result {
+		arrived <- struct{}{}
+		<-block
+		return pieces.Failed{Err: context.Canceled}
+	}
+	statuses := make(chan string, 2)
+	call := func(path string, headers ...string) {
+		resp, _, err := f.call(t, path, headers...)
+		if err != nil {
+			statuses <- err.Error()
+			return
+		}
+		statuses <- fmt.Sprint(resp.StatusCode)
+	}
+	go call("/staged/x", "Pieces", "1,0,0")
+	<-arrived
+	f.Drain()
+	f.StopWaiting()
+	close(block)
+	if got, want := <-statuses, "503"; got != want {
+		t.Errorf("in a stage: got %s, want %s", got, want)
+	}
+	go call("/once/x")
+	<-arrived
+	f.StopSent()
+	if got, want := <-statuses, "504"; got != want {
+		t.Errorf("at an upstream: got %s, want %s", got, want)
+	}
+}
+
+// A request that would be held back is refused at once by a process that
+// drains: another one can take it.
+func TestDrainHoldsNothingBack(t *testing.T) {
+	f := newFixture(t, document(chain()...), newUpstream(t, ok).URL)
+	f.cfg.Wait = func(string) time.Duration { return 900 * time.Millisecond }
+	f.stages = made
+	done := make(chan int, 1)
+	go func() {
+		resp, _, err := f.call(t, "/staged/x", "Pieces", "1,1,1")
+		if err != nil {
+			done <- 0
+			return
+		}
+		done <- resp.StatusCode
+	}()
+	time.Sleep(100 * time.Millisecond)
+	f.Drain()
+	select {
+	case got := <-done:
+		if want := http.StatusServiceUnavailable; got != want {
+			t.Errorf("status %d, want %d", got, want)
+		}
+	case <-time.After(time.Second):
+		t.Error("still held back a second after the drain")
+	}
+}
--- a/internal/front/gateway/request.go
+++ b/internal/front/gateway/request.go
@@ -68,8 +68,15 @@
 		return
 	}
 	q.server.budget(q.service.Name).Earn(q.server.cfg.Retry.Ratio * ratioShare)
+	unsent, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(q.server.waiting, cancel)()
+	if f := q.awaitTurn(unsent); f != nil {
+		q.server.refuse(w, q, f)
+		return
+	}
 	for {
-		f := q.runStages(ctx)
+		f := q.runStages(unsent)
 		if f != nil {
 			q.server.refuse(w, q, f)
 			return
@@ -146,6 +153,9 @@
 	if errors.Is(q.http.Context().Err(), context.Canceled) {
 		return &refusal{status: statusGone, reason: "the caller left", cut: true}
 	}
+	if q.sends == 0 && q.server.waiting.Err() != nil {
+		return q.stopped()
+	}
 	if last != nil && last.status != http.StatusServiceUnavailable {
 		return &refusal{status: http.StatusGatewayTimeout, reason: "no answer in time", err: last.err}
 	}
@@ -155,6 +165,14 @@
 	return notRun("the time is over before the request was sent", shortRetry)
 }
 
+// stopped refuses a request that this process will not get to any more.
+func (q *request) stopped() *refusal {
+	return notRun("this entry stops; send the request again, it goes to another", stopRetry)
+}
+
+// stopRetry is when a caller may come back to another entry.
+const stopRetry = 50 * time.Millisecond
+
 // statusGone is logged for callers who left; it is never sent.
 const statusGone = 499
 
--- a/internal/front/gateway/server.go
+++ b/internal/front/gateway/server.go
@@ -66,12 +66,22 @@
 	cfg      Config
 	index    atomic.Pointer[site.Index]
 	draining atomic.Bool
-	budgets  sync.Map
-	open     atomic.Int64
+	// drained is closed once the server drains.
+	drained chan struct{}
+	// waiting ends what has not been sent to an upstream, sent all else.
+	waiting, sent       context.Context
+	endWaiting, endSent context.CancelFunc
+	budgets             sync.Map
+	open                atomic.Int64
 }
 
 // NewServer returns a Server without a document.
-func NewServer(cfg Config) *Server { return &Server{cfg: cfg} }
+func NewServer(cfg Config) *Server {
+	s := &Server{cfg: cfg, drained: make(chan struct{})}
+	s.waiting, s.endWaiting = context.WithCancel(context.Background())
+	s.sent, s.endSent = context.WithCancel(context.Background())
+	return s
+}
 
 // Configure takes a new document. An older version than the one held is
 // dropped.
@@ -90,8 +100,20 @@
 // Index returns the document held, nil for none.
 func (s *Server) Index() *site.Index { return s.index.Load() }
 
-// Drain closes the callers' connections after their next answer.
-func (s *Server) Drain() { s.draining.Store(true) }
+// Drain closes the callers' connections after their next answer and refuses
+// requests that would have to be held back.
+func (s *Server) Drain() {
+	if s.draining.CompareAndSwap(false, true) {
+		close(s.drained)
+	}
+}
+
+// StopWaiting refuses the requests that no upstream has yet, so that their
+// callers can go elsewhere.
+func (s *Server) StopWaiting() { s.endWaiting() }
+
+// StopSent fails the requests that an upstream has not answered.
+func (s *Server) StopSent() { s.endSent() }
 
 // Open returns the number of requests in progress.
 func (s *Server) Open() int64 { return s.open.Load() }
@@ -128,6 +150,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	defer context.AfterFunc(s.sent, cancel)()
 	q.run(ctx, w)
 }
 
--- a/internal/front/gateway/stages.go
+++ b/internal/front/gateway/stages.go
@@ -145,7 +145,7 @@
 		Stage:       i,
 		Pieces:      n,
 		Inputs:      r.inputsOf(stage.After),
-		Left:        time.Until(r.deadline),
+		Left:        r.patience(),
 		Objective:   r.objective(i),
 		Rest:        r.rest(i),
 		Rank:        r.rank,
@@ -200,14 +200,22 @@
 	return max(left, q.duration(stage)+q.rest(stage))
 }
 
-// duration is the expected time of a stage.
+// duration is the expected time of a stage, its wait in the queue included.
 func (q *request) duration(stage int) time.Duration {
+	usual := q.usual(stage)
+	if usual == 0 {
+		return 0
+	}
+	return q.server.cfg.Wait(q.route.Stages[stage].Service) + usual
+}
+
+// usual is the expected time of the calls of a stage, 0 where it has no pieces.
+func (q *request) usual(stage int) time.Duration {
 	s, ok := q.index.Service(q.route.Stages[stage].Service)
 	if !ok || s.Pieces == nil || q.pieces(stage) == 0 {
 		return 0
 	}
-	usual := s.Pieces.Call + time.Duration(s.Pieces.Batch*usualShare/100)*s.Pieces.Item
-	return q.server.cfg.Wait(s.Name) + usual
+	return s.Pieces.Call + time.Duration(s.Pieces.Batch*usualShare/100)*s.Pieces.Item
 }
 
 // take takes news of a stage.
--- a/internal/serve/pace/pace.go
+++ b/internal/serve/pace/pace.go
@@ -5,7 +5,7 @@
 const (
 	// margin is the multiple of the expected time that must be left for a
 	// request to count as on time.
-	margin = 1.15
+	margin = 1.1
 	// marginRank is added to it for each rank of less urgent requests.
 	marginRank = 0.1
 	// calm is the wait in all queues up to which late requests begin.
@@ -48,7 +48,7 @@
 // Decide decides about a request.
 func Decide(r Request) Decision {
 	need := time.Duration(float64(r.Work+r.Wait) * (margin + marginRank*float64(max(0, r.Rank))))
-	if need <= r.Objective || r.Wait <= calm && r.Work <= r.Patience {
+	if need <= r.Objective || r.Wait <= calm && r.Work+r.Wait <= r.Patience {
 		return Begin{}
 	}
 	if r.Work+r.Wait > r.Patience {
--- a/internal/state/site/document.go
+++ b/internal/state/site/document.go
@@ -55,6 +55,9 @@
 	Objective time.Duration
 	// GapObjective is the longest pause between events that is on time.
 	GapObjective time.Duration
+	// Patience is the time to the first event after which callers of a stream
+	// give up, 0 where it is not known.
+	Patience time.Duration
 	// Priority is the rank of the requests, 0 first.
 	Priority int
 	// Split are the services with their shares of the requests.
