--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -99,7 +100,7 @@
 		Wait:      g.router.Wait,
 		ZoneOf:    g.zoneOf,
 		Place:     place.New(place.Config{Zone: s.Zone, Random: rand.IntN}),
-		Entries:   func() int { return max(1, len(g.owners())) },
+		Entries:   g.entries,
 		Retry:     gateway.RetryLimit{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
 		Zone:      s.Zone,
 		Metrics:   g.health.Metrics(),
@@ -198,19 +199,45 @@
 	return x.Service(name)
 }
 
-// owners returns the entries that may own services.
+// owners returns the entries that may own services: those that share no
+// instance with control, where there are any, as losses of both would add up.
 func (g *gate) owners() []string {
 	f := g.follower.Load()
 	if f == nil {
 		return nil
 	}
-	var out []string
+	controls := make(map[string]bool)
+	for _, p := range f.Peers(news.RoleControl) {
+		controls[hostOf(p.Link)] = true
+	}
+	var all, apart []string
 	for _, p := range f.Peers(news.RoleEntry) {
-		if !p.Leaving {
-			out = append(out, p.Link)
+		if p.Leaving {
+			continue
+		}
+		all = append(all, p.Link)
+		if !controls[hostOf(p.Link)] {
+			apart = append(apart, p.Link)
 		}
 	}
-	return out
+	if len(apart) > 0 {
+		return apart
+	}
+	return all
+}
+
+func hostOf(address string) string {
+	host, _, _ := strings.Cut(address, ":")
+	return host
+}
+
+// entries returns the number of living entries, at least 1.
+func (g *gate) entries() int {
+	f := g.follower.Load()
+	if f == nil {
+		return 1
+	}
+	return max(1, len(f.Peers(news.RoleEntry)))
 }
 
 // readiness returns why the balancer should send no connections.
--- a/internal/beside/pieces/router.go
+++ b/internal/beside/pieces/router.go
@@ -37,6 +37,8 @@
 	cancel context.CancelFunc
 	mu     sync.Mutex
 	remote map[string]*remote
+	// avoid holds until when an owner that was lost is not asked.
+	avoid map[string]time.Time
 	// backlogs is what the owners last said of their queues.
 	backlogs map[string]backlog
 	wg       sync.WaitGroup
@@ -53,7 +55,7 @@
 
 // NewRouter returns a Router without streams.
 func NewRouter(cfg RouterConfig) *Router {
-	r := &Router{cfg: cfg, remote: make(map[string]*remote), backlogs: make(map[string]backlog)}
+	r := &Router{cfg: cfg, remote: make(map[string]*remote), avoid: make(map[string]time.Time), backlogs: make(map[string]backlog)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
 }
@@ -111,9 +113,8 @@
 
 func (r *Router) do(ctx context.Context, order Order) Result {
 	began := time.Now()
-	lost := make(map[string]bool)
 	for {
-		address, ok := ownerOf(order.Service, r.cfg.Owners(), lost)
+		address, ok := r.owner(order.Service)
 		if !ok || address == r.cfg.Self {
 			return r.cfg.Owner.Do(ctx, order.WithPassed(time.Since(began)))
 		}
@@ -126,10 +127,36 @@
 		}
 		r.cfg.Log.Warn("owner of pieces lost, asking the next",
 			zap.String("request", order.Request), zap.String("service", order.Service), zap.String("owner", address), zap.Error(err))
-		lost[address] = true
+		r.lose(address)
 	}
 }
 
+// owner returns the owner of a service among those that were not lost lately.
+func (r *Router) owner(service string) (string, bool) {
+	now := time.Now()
+	except := make(map[string]bool)
+	r.mu.Lock()
+	for address, until := range r.avoid {
+		if now.After(until) {
+			delete(r.avoid, address)
+			continue
+		}
+		except[address] = true
+	}
+	r.mu.Unlock()
+	return ownerOf(service, r.cfg.Owners(), except)
+}
+
+// lose remembers that an owner was lost.
+func (r *Router) lose(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.avoid[address] = time.Now().Add(avoidFor)
+}
+
+// avoidFor is how long an owner that was lost is not asked.
+const avoidFor = 3 * time.Second
+
 // WithPassed returns the order after some of its time has passed.
 func (o Order) WithPassed(d time.Duration) Order {
 	o.Left -= d
@@ -148,12 +175,16 @@
 // to returns the stream to an owner, opening it where there is none.
 func (r *Router) to(address string) (*remote, error) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if m := r.remote[address]; m != nil && !m.isLost() {
-		return m, nil
+	m := r.remote[address]
+	if m == nil {
+		m = &remote{pending: make(map[uint64]waiting)}
+		r.remote[address] = m
 	}
-	if err := r.ctx.Err(); err != nil {
-		return nil, err
+	r.mu.Unlock()
+	m.opening.Lock()
+	defer m.opening.Unlock()
+	if m.open() {
+		return m, nil
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, openTimeout)
 	defer cancel()
@@ -161,12 +192,13 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &remote{stream: st, pending: make(map[uint64]waiting), lost: make(chan struct{})}
-	r.remote[address] = m
+	lost := m.begin(st)
 	r.wg.Add(1)
 	go func() {
 		defer r.wg.Done()
-		m.receive()
+		stop := context.AfterFunc(r.ctx, func() { st.Close() })
+		defer stop()
+		m.receive(st, lost)
 	}()
 	return m, nil
 }
@@ -176,14 +208,14 @@
 	if len(handles) == 0 {
 		return
 	}
-	address, ok := ownerOf(service, r.cfg.Owners(), nil)
+	address, ok := r.owner(service)
 	if !ok || address == r.cfg.Self {
 		r.cfg.Owner.release(service, handles)
 		return
 	}
 	m, err := r.to(address)
 	if err == nil {
-		err = m.stream.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_PieceRelease{PieceRelease: &fleetpb.PieceRelease{Service: service, Handles: handles}}})
+		err = m.send(&fleetpb.Envelope{Body: &fleetpb.Envelope_PieceRelease{PieceRelease: &fleetpb.PieceRelease{Service: service, Handles: handles}}})
 	}
 	if err != nil {
 		r.cfg.Log.Debug("results given back from here, the owner is lost", zap.String("owner", address), zap.Error(err))
@@ -194,22 +226,20 @@
 // Close ends all streams and waits.
 func (r *Router) Close() error {
 	r.cancel()
-	r.mu.Lock()
-	for _, m := range r.remote {
-		m.stream.Close()
-	}
-	r.mu.Unlock()
 	r.wg.Wait()
 	return nil
 }
 
-// remote is the stream to one owner.
+// remote is one owner, with the stream to it where there is one.
 type remote struct {
-	stream  *link.Stream
+	// opening is held while the stream is opened.
+	opening sync.Mutex
 	mu      sync.Mutex
+	stream  *link.Stream
+	// lost is closed when the stream ends.
+	lost    chan struct{}
 	nextID  uint64
 	pending map[uint64]waiting
-	lost    chan struct{}
 }
 
 // waiting is an order without a result yet.
@@ -218,34 +248,49 @@
 	dispatched func()
 }
 
-func (m *remote) isLost() bool {
-	select {
-	case <-m.lost:
-		return true
-	default:
-		return false
+func (m *remote) open() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stream != nil
+}
+
+// begin takes a new stream and returns what is closed when it ends.
+func (m *remote) begin(st *link.Stream) chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stream, m.lost = st, make(chan struct{})
+	return m.lost
+}
+
+// send sends over the present stream.
+func (m *remote) send(e *fleetpb.Envelope) error {
+	m.mu.Lock()
+	st := m.stream
+	m.mu.Unlock()
+	if st == nil {
+		return errOwnerLost
 	}
+	return st.Send(e)
 }
 
 func (m *remote) do(ctx context.Context, order Order) (Result, error) {
 	done := make(chan Result, 1)
 	m.mu.Lock()
 	m.nextID++
-	id := m.nextID
+	id, lost := m.nextID, m.lost
 	m.pending[id] = waiting{done: done, dispatched: order.Dispatched}
 	m.mu.Unlock()
 	defer m.forget(id)
-	if err := m.stream.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_PieceCall{PieceCall: order.message(id)}}); err != nil {
-		m.stream.Close()
+	if err := m.send(&fleetpb.Envelope{Body: &fleetpb.Envelope_PieceCall{PieceCall: order.message(id)}}); err != nil {
 		return nil, err
 	}
 	select {
 	case r := <-done:
 		return r, nil
-	case <-m.lost:
+	case <-lost:
 		return nil, errOwnerLost
 	case <-ctx.Done():
-		err := m.stream.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_PieceCancel{PieceCancel: &fleetpb.PieceCancel{Id: id}}})
+		err := m.send(&fleetpb.Envelope{Body: &fleetpb.Envelope_PieceCancel{PieceCancel: &fleetpb.PieceCancel{Id: id}}})
 		return nil, errors.Join(ctx.Err(), err)
 	}
 }
@@ -256,11 +301,17 @@
 	delete(m.pending, id)
 }
 
-func (m *remote) receive() {
-	defer close(m.lost)
-	defer m.stream.Close()
+// receive takes results until the stream ends.
+func (m *remote) receive(st *link.Stream, lost chan struct{}) {
+	defer func() {
+		m.mu.Lock()
+		m.stream = nil
+		m.mu.Unlock()
+		close(lost)
+		st.Close()
+	}()
 	for {
-		e, err := m.stream.Recv()
+		e, err := st.Recv()
 		if err != nil {
 			return
 		}
--- a/internal/fleet/news/hub.go
+++ b/internal/fleet/news/hub.go
@@ -18,6 +18,8 @@
 	// watcherQueue is the number of News that wait for one watcher; one that
 	// falls further behind must watch anew.
 	watcherQueue = 256
+	// silence is how long a watcher may leave News unacknowledged.
+	silence = 1500 * time.Millisecond
 	// refreshEvery is the time between News that only show that upstreams live.
 	refreshEvery = 300 * time.Millisecond
 )
@@ -46,10 +48,12 @@
 
 // watcher is one stream to a process.
 type watcher struct {
-	peer   *fleetpb.Peer
-	queue  chan *fleetpb.News
-	seq    uint64
-	seen   uint64
+	peer  *fleetpb.Peer
+	queue chan *fleetpb.News
+	seq   uint64
+	seen  uint64
+	// owing is since when News are unacknowledged, zero where none are.
+	owing  time.Time
 	moved  chan struct{}
 	behind bool
 }
@@ -124,6 +128,9 @@
 		return
 	}
 	w.seq++
+	if w.owing.IsZero() {
+		w.owing = time.Now()
+	}
 	own := &fleetpb.News{Seq: w.seq, Upstreams: n.Upstreams, Adopted: n.Adopted, Peers: n.Peers, WholePeers: n.WholePeers}
 	select {
 	case w.queue <- own:
@@ -205,6 +212,11 @@
 func (h *Hub) leave(w *watcher) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.remove(w)
+}
+
+// remove forgets a watcher and ends its stream. The caller holds mu.
+func (h *Hub) remove(w *watcher) {
 	if !h.watchers[w] {
 		return
 	}
@@ -258,7 +270,12 @@
 		w.peer = self
 		h.publish(h.peers())
 	}
-	w.seen = max(w.seen, seen.GetSeq())
+	if seen.GetSeq() > w.seen {
+		w.seen, w.owing = seen.GetSeq(), time.Time{}
+		if w.seen < w.seq {
+			w.owing = time.Now()
+		}
+	}
 	close(w.moved)
 	w.moved = make(chan struct{})
 }
@@ -274,6 +291,7 @@
 			return
 		case now := <-t.C:
 			h.tellRefreshed(now)
+			h.dropSilent(now)
 		}
 	}
 }
@@ -293,6 +311,20 @@
 	}
 }
 
+// dropSilent ends the streams of watchers that acknowledge nothing, as frozen
+// processes do: the others must not take them for alive.
+func (h *Hub) dropSilent(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for w := range h.watchers {
+		if w.behind || w.owing.IsZero() || now.Sub(w.owing) < silence {
+			continue
+		}
+		h.cfg.Log.Warn("watcher silent, dropped", zap.String("watcher", w.peer.GetName()), zap.Uint64("seen", w.seen), zap.Uint64("told", w.seq))
+		h.remove(w)
+	}
+}
+
 // Watchers returns the number of watchers.
 func (h *Hub) Watchers() int {
 	h.mu.Lock()
--- a/internal/fleet/news/news_test.go
+++ b/internal/fleet/news/news_test.go
@@ -219,3 +219,26 @@
 		t.Errorf("without control, peers are %s, want the last list %s", got, want)
 	}
 }
+
+// A process that is frozen acknowledges nothing and is soon not listed any
+// more, although its connection is open.
+func TestFrozenWatcherIsNotListed(t *testing.T) {
+	c := newController(t)
+	e1 := newEntry(t, "e1", c.server.Address())
+	pool := link.NewPool(link.PoolConfig{Auth: auth})
+	defer pool.Close()
+	st, err := pool.Open(context.Background(), c.server.Address())
+	if err != nil {
+		t.Fatalf("open: %v", err)
+	}
+	frozen := &fleetpb.Watch{Self: &fleetpb.Peer{Name: "frozen", Role: RoleEntry, Link: "frozen"}}
+	if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_Watch{Watch: frozen}}); err != nil {
+		t.Fatalf("watch: %v", err)
+	}
+	eventually(t, "both watchers", func() bool { return len(e1.Peers(RoleEntry)) == 2 })
+	began := time.Now()
+	eventually(t, "the drop", func() bool { return len(e1.Peers(RoleEntry)) == 1 })
+	if took := time.Since(began); took > silence+2*refreshEvery+time.Second {
+		t.Errorf("dropped after %v, want about %v", took, silence)
+	}
+}
