--- a/cmd/hawthornhub/site.go
+++ b/cmd/hawthornhub/site.go
@@ -33,6 +33,8 @@
 	// the longest wait for the answer to one.
 	siteHeartbeat = 300 * time.Millisecond
 	siteSilence   = time.Second
+	// siteDial is the longest time to open a link.
+	siteDial = 250 * time.Millisecond
 	// ringEvents is the number of time line events that a process keeps.
 	ringEvents = 2048
 )
@@ -81,7 +83,7 @@
 		// The members of the log are called by their addresses.
 		b.local.Name = s.Listen.Link
 	}
-	b.pool = link.NewPool(link.PoolConfig{Local: b.local, Auth: b.auth, Heartbeat: siteHeartbeat, Silence: siteSilence, Log: b.log})
+	b.pool = link.NewPool(link.PoolConfig{Local: b.local, Auth: b.auth, Heartbeat: siteHeartbeat, Silence: siteSilence, Dial: siteDial, Log: b.log})
 	b.log.Info("process starts", zap.String("role", string(role)), zap.String("zone", s.Zone), zap.Strings("seeds", s.Seeds),
 		zap.Uint64("incarnation", b.incarnation), zap.Bool("first", s.Replica.First), zap.String("program", version))
 	return b, nil
--- a/internal/fleet/link/pool.go
+++ b/internal/fleet/link/pool.go
@@ -24,6 +24,10 @@
 	// Idle is the time without a stream after which a session is closed; 0 is
 	// 10 s.
 	Idle time.Duration
+	// Dial is the longest time to open a connection; 0 is 1 s. Less than the
+	// second after which a lost opening packet is sent again makes a peer that
+	// has just come back be found sooner.
+	Dial time.Duration
 	// Pong receives the answers of heartbeats; nil drops them.
 	Pong func(address string, pong *fleetpb.Pong)
 	Log  *zap.Logger
@@ -33,7 +37,7 @@
 	defaultHeartbeat = 500 * time.Millisecond
 	defaultSilence   = 1500 * time.Millisecond
 	defaultIdle      = 10 * time.Second
-	dialTimeout      = time.Second
+	defaultDial      = time.Second
 )
 
 // Pool dials the other processes and keeps one session to each.
@@ -74,6 +78,9 @@
 	if cfg.Silence == 0 {
 		cfg.Silence = defaultSilence
 	}
+	if cfg.Dial == 0 {
+		cfg.Dial = defaultDial
+	}
 	if cfg.Idle == 0 {
 		cfg.Idle = defaultIdle
 	}
@@ -122,7 +129,7 @@
 	if pr.session != nil && !pr.session.IsClosed() {
 		return pr.session, nil
 	}
-	d := net.Dialer{Timeout: dialTimeout}
+	d := net.Dialer{Timeout: p.cfg.Dial}
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
--- a/internal/fleet/news/follower.go
+++ b/internal/fleet/news/follower.go
@@ -18,7 +18,7 @@
 )
 
 // redial is the wait before a control instance is dialled again.
-const redial = 200 * time.Millisecond
+const redial = 100 * time.Millisecond
 
 // FollowerConfig builds a Follower.
 type FollowerConfig struct {
