--- a/internal/beside/pieces/call.go
+++ b/internal/beside/pieces/call.go
@@ -196,6 +196,7 @@
 		return piece.Group.Made()
 	case NoRoom:
 		s.restTil = now.Add(restAfterFull)
+		s.room.short(now)
 		p.again(piece, w, errNoRoom)
 	default:
 		w.tries++
--- a/internal/beside/pieces/owner.go
+++ b/internal/beside/pieces/owner.go
@@ -244,7 +244,7 @@
 		return int(8*p.state(a.ID).pace) - int(8*p.state(b.ID).pace)
 	})
 	for i, u := range idle {
-		batch := p.queue.Batch(now, gather.Upstream{Idle: len(idle) - i, Room: p.roomBytes - p.state(u.ID).room.used(now), Zone: u.Zone})
+		batch := p.queue.Batch(now, gather.Upstream{Idle: len(idle) - i, Room: p.state(u.ID).room.left(now, p.roomBytes), Zone: u.Zone})
 		if len(batch) == 0 {
 			continue
 		}
