--- a/internal/front/gateway/stages.go
+++ b/internal/front/gateway/stages.go
@@ -17,7 +17,7 @@
 	firstEvent = 150 * time.Millisecond
 	// fetchTime is the time after which an upstream that was idle has fetched
 	// the inputs of a call.
-	fetchTime = 120 * time.Millisecond
+	fetchTime = 70 * time.Millisecond
 	// maxRemakes is how often the stages of a request are made again after
 	// results of theirs have expired.
 	maxRemakes = 2
