--- a/internal/fleet/replica/host.go
+++ b/internal/fleet/replica/host.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"errors"
 	"fmt"
 	mrand "math/rand/v2"
 	"time"
@@ -65,13 +66,22 @@
 	// replica without a log knows its peers only by them.
 	names  map[uint64]string
 	broken bool
+	// stalled is set while the disk is full: the effects wait, and nothing
+	// else is taken.
+	stalled bool
 }
 
+// fullRetry is the time between tries to write to a full disk.
+const fullRetry = 100 * time.Millisecond
+
 // Receive takes one message of the mailbox.
 func (h *host) Receive(ctx actor.Context) {
 	if h.broken {
 		return
 	}
+	if h.stalled && !h.duringStall(ctx.Message()) {
+		return
+	}
 	switch msg := ctx.Message().(type) {
 	case *inputMsg:
 		h.step(msg.in)
@@ -98,6 +108,32 @@
 	}
 }
 
+// duringStall answers what cannot be done while the disk is full and reports
+// whether a message is still to be taken. The instance is to the others as if
+// it were frozen.
+func (h *host) duringStall(msg any) bool {
+	switch msg := msg.(type) {
+	case *proposeMsg:
+		msg.done <- answer{err: &StalledError{}}
+	case *readMsg:
+		msg.done <- &StalledError{}
+	case *inspectMsg, *flushMsg, *actor.Stopped:
+		return true
+	}
+	return false
+}
+
+// stall keeps effects until the disk has room again.
+func (h *host) stall(effects []quorum.Effect, full error) {
+	if !h.stalled {
+		h.cfg.Log.Error("disk full, the instance waits", zap.Error(full))
+	}
+	h.stalled = true
+	h.effects = append(effects, h.effects...)
+	h.flushing = true
+	time.AfterFunc(fullRetry, func() { h.replica.tell(&flushMsg{}) })
+}
+
 func (h *host) step(in quorum.Input) {
 	h.effects = append(h.effects, h.node.Step(in)...)
 }
@@ -129,7 +165,17 @@
 	for len(h.effects) > 0 {
 		effects := h.effects
 		h.effects = nil
-		if err := h.write(effects); err != nil {
+		err := h.write(effects)
+		var full *disk.FullError
+		if errors.As(err, &full) {
+			h.stall(effects, full)
+			return
+		}
+		if h.stalled && err == nil {
+			h.stalled = false
+			h.cfg.Log.Info("disk has room again")
+		}
+		if err != nil {
 			h.broken = true
 			h.cfg.Fatal(err)
 			return
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -84,6 +84,14 @@
 	return "the leader changed before the command was committed; send it again"
 }
 
+// StalledError refuses a request on an instance whose disk is full.
+type StalledError struct{}
+
+// Error names the remedy.
+func (e *StalledError) Error() string {
+	return "the disk of this instance is full; make room there, and ask another instance"
+}
+
 // View is what a replica tells of itself without confirmation.
 type View struct {
 	quorum.State
--- a/internal/fleet/replica/replica_test.go
+++ b/internal/fleet/replica/replica_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/control"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/fleet/timeline"
+	"hawthornhub.example/hawthornhub/internal/state/disk"
 	"hawthornhub.example/hawthornhub/internal/state/machine"
 	"hawthornhub.example/hawthornhub/internal/state/quorum"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
@@ -47,6 +49,36 @@
 	server  *link.Server
 	replica *Replica
 	system  *actor.ActorSystem
+	full    atomic.Bool
+}
+
+// limited is a data folder on a disk that can be full.
+type limited struct {
+	disk.Files
+	full *atomic.Bool
+}
+
+type limitedFile struct {
+	disk.File
+	full *atomic.Bool
+}
+
+func (l limited) Create(name string) (disk.File, error) {
+	f, err := l.Files.Create(name)
+	return limitedFile{f, l.full}, err
+}
+
+func (l limited) Append(name string) (disk.File, error) {
+	f, err := l.Files.Append(name)
+	return limitedFile{f, l.full}, err
+}
+
+// Write refuses every byte while the disk is full.
+func (f limitedFile) Write(b []byte) (int, error) {
+	if f.full.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.Write(b)
 }
 
 // group is three replicas in one process, on loopback.
@@ -83,8 +115,12 @@
 	local := link.Local{Name: m.name}
 	m.pool = link.NewPool(link.PoolConfig{Local: local, Auth: auth})
 	m.system = actor.NewActorSystem()
+	folder, err := disk.Folder(m.dir)
+	if err != nil {
+		g.t.Fatal(err)
+	}
 	r, err := Start(Config{
-		Name: m.name, DataDir: m.dir, Document: firstDocument, Peers: g.peers,
+		Name: m.name, DataDir: m.dir, Files: limited{folder, &m.full}, Document: firstDocument, Peers: g.peers,
 		Tick: 10 * time.Millisecond, SnapshotEntries: 200, Pool: m.pool, System: m.system,
 		Timeline: timeline.NewRecorder(timeline.Config{Process: m.name}), Log: zap.NewNop(),
 		Fatal: func(err error) { g.t.Errorf("%s: %v", m.name, err) },
@@ -373,3 +409,24 @@
 		}
 	}
 }
+
+// A leader whose disk is full is replaced, does not end, and takes part again
+// once there is room; nothing that was accepted is lost.
+func TestFullDiskOfTheLeader(t *testing.T) {
+	g := newGroup(t)
+	c := g.client()
+	g.mustClaim(c, 0)
+	full := g.leader()
+	full.full.Store(true)
+	for n := range 5 {
+		g.mustClaim(c, 1+n)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	var stalled *StalledError
+	if err := full.replica.Read(ctx, func(*machine.Machine) {}); !errors.As(err, &stalled) {
+		t.Errorf("a read on the full instance: %v, want a StalledError", err)
+	}
+	full.full.Store(false)
+	g.await("the instance catches up", func() bool { return full.replica.View().Claims == 6 })
+}
--- a/internal/state/disk/files.go
+++ b/internal/state/disk/files.go
@@ -65,7 +65,7 @@
 func (f folder) Read(name string) ([]byte, error) { return os.ReadFile(f.path(name)) }
 
 func (f folder) Create(name string) (File, error) {
-	return os.OpenFile(f.path(name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	return os.OpenFile(f.path(name), os.O_CREATE|os.O_TRUNC|os.O_APPEND|os.O_WRONLY, 0o600)
 }
 
 func (f folder) Append(name string) (File, error) {
--- a/internal/state/disk/record.go
+++ b/internal/state/disk/record.go
@@ -17,6 +17,18 @@
 
 var table = crc32.MakeTable(crc32.Castagnoli)
 
+// FullError reports that the disk takes no more bytes. The store is as it was
+// before the call, which may be repeated.
+type FullError struct{ Err error }
+
+// Error names the remedy.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("the disk is full: %v; make room, the call is repeated until then", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *FullError) Unwrap() error { return e.Err }
+
 // DamageError reports a record that a crash cannot explain.
 type DamageError struct {
 	File   string
--- a/internal/state/disk/store.go
+++ b/internal/state/disk/store.go
@@ -1,9 +1,11 @@
 package disk
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"google.golang.org/protobuf/proto"
 
@@ -32,6 +34,8 @@
 	generation uint64
 	identity   uint64
 	syncs      uint64
+	// size is the number of bytes of whole records in the log.
+	size int64
 }
 
 // Opened is what the folder held.
@@ -112,7 +116,7 @@
 	if err != nil {
 		return fmt.Errorf("create log: %w", err)
 	}
-	s.log = f
+	s.log, s.size = f, 0
 	if err := s.write(first); err != nil {
 		return err
 	}
@@ -124,10 +128,18 @@
 	if err != nil {
 		return err
 	}
-	if _, err := s.log.Write(b); err != nil {
+	_, err = s.log.Write(b)
+	switch {
+	case err == nil:
+		s.size += int64(len(b))
+		return nil
+	case !errors.Is(err, syscall.ENOSPC):
 		return fmt.Errorf("write log: %w; end the process and check the disk", err)
 	}
-	return nil
+	if cut := s.log.Truncate(s.size); cut != nil {
+		return fmt.Errorf("cut log after %w: %w; end the process and check the disk", err, cut)
+	}
+	return &FullError{Err: err}
 }
 
 // Append writes one record. It lasts only once Sync has returned nil.
@@ -145,17 +157,16 @@
 }
 
 // Save starts a new generation from a snapshot and the entries behind it. It
-// is lasting when it returns nil.
+// is lasting when it returns nil. After a *FullError the former generation goes
+// on.
 func (s *Store) Save(snap *statepb.Snapshot, hard *statepb.HardState, tail []*statepb.Entry) error {
-	old := s.log
+	old, size := s.log, s.size
 	s.generation++
-	if err := s.startLog(&statepb.Record{Identity: s.identity, Hard: hard, Entries: tail}); err != nil {
-		return err
-	}
-	if err := s.files.SyncDir(); err != nil {
-		return fmt.Errorf("sync data folder: %w", err)
+	err := s.writeGeneration(snap, &statepb.Record{Identity: s.identity, Hard: hard, Entries: tail})
+	if errors.Is(err, syscall.ENOSPC) {
+		return s.goBack(old, size, err)
 	}
-	if err := s.writeSnapshot(snap); err != nil {
+	if err != nil {
 		return err
 	}
 	if err := old.Close(); err != nil {
@@ -164,6 +175,34 @@
 	return s.removeOld()
 }
 
+func (s *Store) writeGeneration(snap *statepb.Snapshot, first *statepb.Record) error {
+	if err := s.startLog(first); err != nil {
+		return err
+	}
+	if err := s.files.SyncDir(); err != nil {
+		return fmt.Errorf("sync data folder: %w", err)
+	}
+	return s.writeSnapshot(snap)
+}
+
+// goBack returns to the former generation after the disk was full.
+func (s *Store) goBack(old File, size int64, full error) error {
+	if s.log != old {
+		if err := s.log.Close(); err != nil {
+			return fmt.Errorf("close log after %w: %w", full, err)
+		}
+	}
+	final := name(snapshotPrefix, s.generation)
+	for _, n := range []string{final, final + tempSuffix, name(logPrefix, s.generation)} {
+		if err := s.files.Remove(n); err != nil {
+			return fmt.Errorf("remove %s after %w: %w", n, full, err)
+		}
+	}
+	s.log, s.size = old, size
+	s.generation--
+	return &FullError{Err: full}
+}
+
 func (s *Store) writeSnapshot(snap *statepb.Snapshot) error {
 	final := name(snapshotPrefix, s.generation)
 	f, err := s.files.Create(final + tempSuffix)
@@ -275,7 +314,7 @@
 	if err != nil {
 		return fmt.Errorf("open log: %w", err)
 	}
-	s.log = f
+	s.log, s.size = f, int64(intact)
 	if err := f.Truncate(int64(intact)); err != nil {
 		return fmt.Errorf("cut log: %w", err)
 	}
--- a/internal/state/disk/store_test.go
+++ b/internal/state/disk/store_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"slices"
+	"syscall"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -21,6 +23,9 @@
 	now    map[string][]byte
 	// failSync makes the next sync fail.
 	failSync bool
+	// room is the number of bytes that may still be written; negative is no
+	// limit.
+	room int
 	// failAfter counts down the operations before one fails; 0 is never.
 	failAfter int
 }
@@ -40,7 +45,7 @@
 }
 
 func newMemory() *memory {
-	return &memory{synced: make(map[string][]byte), now: make(map[string][]byte)}
+	return &memory{synced: make(map[string][]byte), now: make(map[string][]byte), room: -1}
 }
 
 type memoryFile struct {
@@ -49,6 +54,15 @@
 }
 
 func (f memoryFile) Write(b []byte) (int, error) {
+	if f.m.room >= 0 && len(b) > f.m.room {
+		n := f.m.room
+		f.m.room = 0
+		f.m.now[f.name] = append(slices.Clone(f.m.now[f.name]), b[:n]...)
+		return n, syscall.ENOSPC
+	}
+	if f.m.room >= 0 {
+		f.m.room -= len(b)
+	}
 	f.m.now[f.name] = append(slices.Clone(f.m.now[f.name]), b...)
 	return len(b), nil
 }
@@ -281,3 +295,54 @@
 		}
 	})
 }
+
+// A full disk leaves the store as it was, whichever write it refuses, and what
+// is written once there is room again is all there after a restart.
+func TestFullDisk(t *testing.T) {
+	for room := range 400 {
+		m := newMemory()
+		s, _, err := Open(Config{Files: m, NewIdentity: func() uint64 { return 7 }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		entry := func(i uint64) []*statepb.Entry {
+			return []*statepb.Entry{{Index: i, Term: 1, Command: &statepb.Command{NowMs: int64(i)}}}
+		}
+		steps := []func() error{
+			func() error { return s.Append(&statepb.HardState{Term: 1}, entry(1)) },
+			s.Sync,
+			func() error { return s.Append(nil, entry(2)) },
+			func() error {
+				return s.Save(&statepb.Snapshot{Index: 2, Term: 1, State: []byte("state")}, &statepb.HardState{Term: 1}, nil)
+			},
+			func() error { return s.Append(nil, entry(3)) },
+			s.Sync,
+		}
+		m.room = room
+		refused := 0
+		for i, step := range steps {
+			err := step()
+			for errors.Is(err, syscall.ENOSPC) {
+				var full *FullError
+				if !errors.As(err, &full) {
+					t.Fatalf("room %d, step %d: %v is not a FullError", room, i, err)
+				}
+				refused++
+				m.room = -1
+				err = step()
+			}
+			if err != nil {
+				t.Fatalf("room %d, step %d: %v", room, i, err)
+			}
+		}
+		m.crash(0)
+		_, opened, err := Open(Config{Files: m, NewIdentity: func() uint64 { return 8 }})
+		if err != nil {
+			t.Fatalf("room %d: open again: %v", room, err)
+		}
+		got := fmt.Sprint(opened.Identity, opened.Hard.GetTerm(), opened.Snapshot.GetIndex(), len(opened.Entries), opened.Entries[len(opened.Entries)-1].Index)
+		if want := "7 1 2 1 3"; got != want {
+			t.Errorf("room %d, %d writes refused: got %s, want %s", room, refused, got, want)
+		}
+	}
+}
