--- a/internal/state/quorum/node_test.go
+++ b/internal/state/quorum/node_test.go
@@ -193,3 +193,51 @@
 		t.Errorf("%d voters, want %d", got, want)
 	}
 }
+
+// With more voters than wanted, one that has been silent for long is removed,
+// one at a time; without more, none is.
+func TestSilentVoterTooManyIsRetired(t *testing.T) {
+	for _, tt := range []struct {
+		wanted int
+		want   int
+	}{{3, 3}, {0, 4}, {5, 4}} {
+		voters := &statepb.Voters{Voters: []uint64{1, 2, 3, 4}, Names: map[uint64]string{1: "a", 2: "b", 3: "c", 4: "d"}}
+		n := New(Config{ID: 1, Name: "a", ElectionTicks: 10, HeartbeatTicks: 2, Voters: tt.wanted, RetireTicks: 30, Jitter: func(int) int { return 0 }},
+			Restored{Hard: &statepb.HardState{Term: 1}, Snapshot: &statepb.Snapshot{Index: 1, Term: 1, Voters: voters}})
+		answer := func(effects []Effect) {
+			for len(effects) > 0 {
+				var next []Effect
+				for _, e := range effects {
+					send, ok := e.(Send)
+					if !ok || send.Message.To == 4 {
+						continue
+					}
+					m := send.Message
+					reply := &statepb.Message{From: m.To, To: m.From, Term: m.Term, Round: m.Round}
+					switch m.Kind {
+					case statepb.MessageKind_MESSAGE_KIND_PRE_VOTE:
+						reply.Kind = statepb.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY
+					case statepb.MessageKind_MESSAGE_KIND_VOTE:
+						reply.Kind = statepb.MessageKind_MESSAGE_KIND_VOTE_REPLY
+					case statepb.MessageKind_MESSAGE_KIND_APPEND:
+						reply.Kind = statepb.MessageKind_MESSAGE_KIND_APPEND_REPLY
+						reply.LogIndex = m.LogIndex + uint64(len(m.Entries))
+					default:
+						continue
+					}
+					next = append(next, n.Step(Receive{Message: reply})...)
+				}
+				effects = next
+			}
+		}
+		for range 80 {
+			answer(n.Step(Tick{}))
+		}
+		if got := n.State().Role; got != Leader {
+			t.Fatalf("wanted %d: role %s, want leader", tt.wanted, got)
+		}
+		if got := len(n.State().Voters.GetVoters()); got != tt.want {
+			t.Errorf("wanted %d: %d voters, want %d", tt.wanted, got, tt.want)
+		}
+	}
+}
