--- a/cmd/hawthornhub/inspect.go
+++ b/cmd/hawthornhub/inspect.go
@@ -18,11 +18,11 @@
 func checkCommand(app *kingpin.Application) command {
 	clause := app.Command("check", "Check a settings file, a document, or both.")
 	file := clause.Flag("settings", "Settings file.").String()
-	role := clause.Flag("role", "Role of the settings.").Default("entry").Enum("entry", "agent", "control")
+	role := clause.Flag("role", "Role of the settings.").Default("entry").Enum("entry", "agent", "control", "gateway", "registry")
 	doc := clause.Flag("document", "Document file.").String()
 	return command{clause: clause, run: func() error {
 		if *file != "" {
-			if _, err := load(*file, settings.Role(*role)); err != nil {
+			if err := checkSettings(*file, settings.Role(*role)); err != nil {
 				return err
 			}
 			fmt.Println(*file, "ok")
@@ -42,6 +42,18 @@
 	}}
 }
 
+// checkSettings reads the settings of any role.
+func checkSettings(file string, role settings.Role) error {
+	if role != settings.RoleGateway && role != settings.RoleRegistry {
+		_, err := load(file, role)
+		return err
+	}
+	if _, err := settings.LoadSite(file, role); err != nil {
+		return &exitError{code: exitUsage, err: err}
+	}
+	return nil
+}
+
 func statusCommand(app *kingpin.Application) command {
 	clause := app.Command("status", "Print the processes, the leader and the document in force on each.")
 	r := remoteFlags(clause)
--- a/cmd/hawthornhub/site.go
+++ b/cmd/hawthornhub/site.go
@@ -52,8 +52,10 @@
 	local       link.Local
 	auth        link.Auth
 	pool        *link.Pool
-	done        chan struct{}
-	gauges      sync.WaitGroup
+	// read is the time of the settings file when it was read last.
+	read   time.Time
+	done   chan struct{}
+	gauges sync.WaitGroup
 }
 
 func newBase(file string, role settings.Role) (*base, error) {
@@ -84,6 +86,7 @@
 		b.local.Name = s.Listen.Link
 	}
 	b.pool = link.NewPool(link.PoolConfig{Local: b.local, Auth: b.auth, Heartbeat: siteHeartbeat, Silence: siteSilence, Dial: siteDial, Log: b.log})
+	b.read = b.fileTime()
 	b.log.Info("process starts", zap.String("role", string(role)), zap.String("zone", s.Zone), zap.Strings("seeds", s.Seeds),
 		zap.Uint64("incarnation", b.incarnation), zap.Bool("first", s.Replica.First), zap.String("program", version))
 	return b, nil
@@ -143,26 +146,51 @@
 	return nil
 }
 
-// untilStop calls reload at each SIGHUP and returns at the first SIGTERM or
-// SIGINT with a context that ends with the grace period.
+// settingsEvery is the time between looks at the settings file, which may
+// change without a signal.
+const settingsEvery = 2 * time.Second
+
+// untilStop calls reload at each SIGHUP and whenever the settings file has
+// changed, and returns at the first SIGTERM or SIGINT with a context that ends
+// with the grace period.
 func (b *base) untilStop(reload func(settings.Site)) (context.Context, context.CancelFunc) {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			break
+	t := time.NewTicker(settingsEvery)
+	defer t.Stop()
+	for stopping := false; !stopping; {
+		select {
+		case sig := <-signals:
+			stopping = sig != syscall.SIGHUP
+			if !stopping {
+				b.reload(reload)
+			}
+		case <-t.C:
+			if changed := b.fileTime(); !changed.Equal(b.read) {
+				b.reload(reload)
+			}
 		}
-		b.reload(reload)
 	}
 	grace := b.settings.Grace()
 	b.log.Info("process stops", zap.Duration("grace", grace))
 	return context.WithTimeout(context.Background(), grace-graceMargin)
 }
 
+// fileTime returns when the settings file was written last.
+func (b *base) fileTime() time.Time {
+	info, err := os.Stat(b.file)
+	if err != nil {
+		b.log.Warn("settings file cannot be looked at", zap.Error(err))
+		return b.read
+	}
+	return info.ModTime()
+}
+
 // graceMargin is kept of the grace period for ending the process itself.
 const graceMargin = 500 * time.Millisecond
 
 func (b *base) reload(apply func(settings.Site)) {
+	b.read = b.fileTime()
 	s, err := settings.LoadSite(b.file, b.role)
 	if err != nil {
 		b.log.Error("settings not reloaded", zap.Error(err))
