--- a/internal/operator/explain/explain.go
+++ b/internal/operator/explain/explain.go
@@ -135,9 +135,9 @@
 // relevant returns the last belief before the request's end on each thing that
 // its lines name.
 func (r *Reader) relevant() []Line {
-	named := make(map[string]bool)
+	named, own := make(map[string]bool), make(map[string]bool)
 	for _, l := range r.own {
-		named[l.Process] = true
+		named[l.Process], own[l.Process] = true, true
 		for _, f := range []string{"upstream", "service", "owner"} {
 			named[l.text(f)] = true
 		}
@@ -147,6 +147,10 @@
 	last := make(map[string]Line)
 	for _, l := range r.beliefs {
 		about := l.subject()
+		// Every entry logs each upstream; those that saw the request count.
+		if l.Message == "upstream changed" && !own[l.Process] {
+			continue
+		}
 		if !l.At.After(end) && named[about] {
 			last[about+" "+l.Message+" "+l.Process] = l
 		}
@@ -189,6 +193,9 @@
 	case "request answered":
 		return answered(lines, last)
 	case "stream cut", "answer cut":
+		if strings.HasPrefix(last.text("error"), "the caller") {
+			return fmt.Sprintf("%s, after %.0f ms and %.0f bytes from upstream %s", last.text("error"), last.number("age"), last.number("passed"), last.text("upstream"))
+		}
 		return fmt.Sprintf("the answer of upstream %s broke off after %.0f bytes (%s)%s", last.text("upstream"), last.number("passed"), last.text("error"), upstreamWord(known, last))
 	case "request refused":
 		return refused(lines, last, known)
