--- a/internal/front/gateway/gateway_test.go
+++ b/internal/front/gateway/gateway_test.go
@@ -93,7 +93,7 @@
 }
 
 // drop reads the request and closes the connection.
-func drop(w http.ResponseWriter, r *http.Request) {
+func drop(_ http.ResponseWriter, r *http.Request) {
 	io.Copy(io.Discard, r.Body)
 	panic(http.ErrAbortHandler)
 }
@@ -518,7 +518,7 @@
 	})
 	f := newFixture(t, document(chain()...), u.URL)
 	block := make(chan struct{})
-	f.stages = func(o pieces.Order) pieces.Result {
+	f.stages = func(pieces.Order) pieces.Result {
 		arrived <- struct{}{}
 		<-block
 		return pieces.Failed{Err: context.Canceled}
