gateway, pieces, settings: limit of headers; forget upstreams that are gone; less code

Upstreams that left long ago are forgotten on entries and registries. One way to load settings of any kind; attributes, ids and a count that nothing read are gone.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"runtime"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -53,6 +52,7 @@
 type gate struct {
 	*base
 	table    *roster.Table
+	place    *place.Table
 	upstream *direct.Pool
 	owner    *pieces.Owner
 	router   *pieces.Router
@@ -81,6 +81,7 @@
 
 func (g *gate) start() error {
 	s := g.settings
+	g.place = place.New(place.Config{Zone: s.Zone, Random: rand.IntN})
 	g.table = roster.New(roster.Config{Changed: g.upstreamChanged})
 	g.upstream = direct.NewPool(direct.Config{Classify: platform.Classify, Log: g.log})
 	g.owner = pieces.NewOwner(pieces.Config{
@@ -88,7 +89,6 @@
 		Wire:      platform.Pieces(),
 		Upstreams: g.table.Service,
 		Service:   g.service,
-		NewID:     func() string { return strconv.FormatUint(rand.Uint64(), 16) },
 		Log:       g.log,
 	})
 	g.router = pieces.NewRouter(pieces.RouterConfig{Owner: g.owner, Pool: g.pool, Self: s.Listen.Link, Owners: g.owners, Log: g.log})
@@ -100,7 +100,7 @@
 		Release:   g.router.Release,
 		Wait:      g.router.Wait,
 		ZoneOf:    g.zoneOf,
-		Place:     place.New(place.Config{Zone: s.Zone, Random: rand.IntN}),
+		Place:     g.place,
 		Entries:   g.entries,
 		Retry:     gateway.RetryLimit{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
 		Zone:      s.Zone,
@@ -185,6 +185,9 @@
 	if after.State != roster.Ready {
 		g.upstream.Forget(after.ID)
 	}
+	if after.State == roster.Left {
+		g.place.Forget(after.ID)
+	}
 }
 
 // zoneOf returns the availability zone of the upstream that holds a result.
@@ -242,8 +245,9 @@
 	return max(1, len(f.Peers(news.RoleEntry)))
 }
 
-// gauge updates the gauges.
+// gauge updates the gauges and forgets upstreams that have long been gone.
 func (g *gate) gauge(scope tally.Scope) {
+	g.table.Forget(time.Now(), forgetSilent)
 	open, dialled := g.upstream.Counts()
 	scope.Gauge("requests_open").Update(float64(g.server.Open()))
 	scope.Gauge("upstream_connections").Update(float64(open))
--- a/cmd/hawthornhub/registry.go
+++ b/cmd/hawthornhub/registry.go
@@ -49,6 +49,7 @@
 	*base
 	system   *actor.ActorSystem
 	hub      *news.Hub
+	table    *roster.Table
 	replica  atomic.Pointer[replica.Replica]
 	started  chan struct{}
 	follower *news.Follower
@@ -74,8 +75,8 @@
 func (k *keeper) start() error {
 	s := k.settings
 	k.system = k.actors()
-	table := roster.New(roster.Config{})
-	k.hub = news.NewHub(news.HubConfig{Self: k.self, Table: table, Voters: k.voters, Log: k.log})
+	k.table = roster.New(roster.Config{})
+	k.hub = news.NewHub(news.HubConfig{Self: k.self, Table: k.table, Voters: k.voters, Log: k.log})
 	var err error
 	k.links, err = link.Listen(link.ServerConfig{Address: s.Listen.Link, Local: k.local, Auth: k.auth, Handle: k.handle, Log: k.log})
 	if err != nil {
@@ -116,8 +117,9 @@
 	return errors.Join(k.serveHealth(k.readiness), k.serveOn(s.Listen.Registry, k.http))
 }
 
-// gauge updates the gauges.
+// gauge updates the gauges and forgets upstreams that have long been gone.
 func (k *keeper) gauge(scope tally.Scope) {
+	k.table.Forget(time.Now(), forgetSilent)
 	v := k.replica.Load().View()
 	leads := 0.0
 	if v.Role == quorum.Leader {
--- a/cmd/hawthornhub/site.go
+++ b/cmd/hawthornhub/site.go
@@ -98,6 +98,10 @@
 	}))
 }
 
+// forgetSilent is how much longer than one that has left an upstream is
+// remembered that has fallen silent.
+const forgetSilent = time.Minute
+
 // gaugeEvery is the time between updates of the gauges.
 const gaugeEvery = time.Second
 
--- a/internal/beside/pieces/call.go
+++ b/internal/beside/pieces/call.go
@@ -53,7 +53,7 @@
 // exchange sends a call and reads its answer whole.
 func (p *pool) exchange(ctx context.Context, u roster.Upstream, batch []gather.Piece) ([]Output, *callError) {
 	t := p.target(u)
-	request, err := p.owner.cfg.Wire.Run(t, p.owner.cfg.NewID(), p.items(batch))
+	request, err := p.owner.cfg.Wire.Run(t, p.items(batch))
 	if err != nil {
 		return nil, &callError{err: err}
 	}
--- a/internal/beside/pieces/order.go
+++ b/internal/beside/pieces/order.go
@@ -99,7 +99,7 @@
 // Wire is how upstreams are spoken to.
 type Wire struct {
 	// Run returns the request for a call with items.
-	Run func(t direct.Target, id string, items []Item) (direct.Request, error)
+	Run func(t direct.Target, items []Item) (direct.Request, error)
 	// Outputs reads the answer to it.
 	Outputs func(body []byte) ([]Output, error)
 	// Free returns the request that gives results back.
--- a/internal/beside/pieces/owner.go
+++ b/internal/beside/pieces/owner.go
@@ -42,9 +42,7 @@
 	Upstreams func(service string) []roster.Upstream
 	// Service returns the description of a service.
 	Service func(name string) (*site.Service, bool)
-	// NewID returns an id for a call.
-	NewID func() string
-	Log   *zap.Logger
+	Log     *zap.Logger
 }
 
 // Owner runs the pieces of the services that this process owns. It is safe for
--- a/internal/beside/pieces/pieces_test.go
+++ b/internal/beside/pieces/pieces_test.go
@@ -31,7 +31,7 @@
 		return direct.Request{Method: http.MethodPost, URI: path, Host: t.Address, Header: http.Header{}, Body: body}, err
 	}
 	return Wire{
-		Run: func(t direct.Target, _ string, items []Item) (direct.Request, error) { return post(t, "/run", items) },
+		Run: func(t direct.Target, items []Item) (direct.Request, error) { return post(t, "/run", items) },
 		Outputs: func(body []byte) ([]Output, error) {
 			var out []Output
 			return out, json.Unmarshal(body, &out)
@@ -131,7 +131,6 @@
 			return out
 		},
 		Service: func(name string) (*site.Service, bool) { return service, name == service.Name },
-		NewID:   func() string { return "c" },
 		Log:     zap.NewNop(),
 	})
 	t.Cleanup(func() {
--- a/internal/front/gateway/gateway_test.go
+++ b/internal/front/gateway/gateway_test.go
@@ -143,7 +143,7 @@
 			route("stream", "/stream/", site.Streaming, 2, false), route("resume", "/resume/", site.Streaming, 2, true), staged, quick, open,
 		},
 		Accounts: []site.Account{{Name: "north", Keys: []string{"k"}}},
-		Limits:   site.Limits{BodyBytes: 100},
+		Limits:   site.Limits{BodyBytes: 100, HeaderBytes: 2000},
 	}
 }
 
@@ -280,6 +280,7 @@
 		{"/safe", nil, 404},
 		{"/safe/x", []string{"Key", "other"}, 401},
 		{"/open/x", []string{"Key", ""}, 200},
+		{"/open/x", []string{"Long", strings.Repeat("x", 2000)}, 431},
 	} {
 		resp, _, err := f.call(t, tt.path, tt.headers...)
 		if err != nil {
--- a/internal/front/gateway/server.go
+++ b/internal/front/gateway/server.go
@@ -161,6 +161,9 @@
 	if x == nil {
 		return q, notRun("no configuration is known yet", shortRetry)
 	}
+	if limit := x.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
+		return q, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "the headers are over the limit; send less"}
+	}
 	attributes, err := s.cfg.Wire.Attributes(r.Header)
 	q.Attributes = attributes
 	if err != nil {
@@ -188,6 +191,17 @@
 	return q, q.readBody(x.Limits.BodyBytes)
 }
 
+// headerBytes is the size of a request's head as it was sent, about.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
+
 func (q *request) readBody(limit int64) *refusal {
 	if limit <= 0 {
 		limit = defaultBodyBytes
--- a/internal/front/gateway/wire.go
+++ b/internal/front/gateway/wire.go
@@ -21,9 +21,6 @@
 	Key string
 	// Prompt lists the parts of the prompt in order.
 	Prompt []Part
-	// PromptTokens and MaxTokens are the sizes of the prompt and of the longest
-	// result.
-	PromptTokens, MaxTokens int
 	// Pieces is the number of pieces of each stage.
 	Pieces []int
 	// PieceKey is the key of pieces without inputs.
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -118,13 +118,19 @@
 // Load reads and validates the settings of a role. The error is a *FaultError
 // where the file could be read.
 func Load(file string, role Role) (Settings, error) {
+	return loadAs(file, role, Decode)
+}
+
+// loadAs reads a file and decodes it for a role.
+func loadAs[T any](file string, role Role, decode func([]byte, Role) (T, []string)) (T, error) {
+	var none T
 	b, err := os.ReadFile(file)
 	if err != nil {
-		return Settings{}, fmt.Errorf("read settings: %w; give the file with --settings", err)
+		return none, fmt.Errorf("read settings: %w; give the file with --settings", err)
 	}
-	s, faults := Decode(b, role)
+	s, faults := decode(b, role)
 	if len(faults) > 0 {
-		return Settings{}, &FaultError{File: file, Faults: faults}
+		return none, &FaultError{File: file, Faults: faults}
 	}
 	return s, nil
 }
--- a/internal/operator/settings/site.go
+++ b/internal/operator/settings/site.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"net"
-	"os"
 	"strconv"
 	"time"
 
@@ -76,15 +75,7 @@
 // LoadSite reads and validates the settings of a gateway or registry. The error
 // is a *FaultError where the file could be read.
 func LoadSite(file string, role Role) (Site, error) {
-	b, err := os.ReadFile(file)
-	if err != nil {
-		return Site{}, fmt.Errorf("read settings: %w; give the file with --settings", err)
-	}
-	s, faults := DecodeSite(b, role)
-	if len(faults) > 0 {
-		return Site{}, &FaultError{File: file, Faults: faults}
-	}
-	return s, nil
+	return loadAs(file, role, DecodeSite)
 }
 
 // DecodeSite decodes and validates settings and returns every fault.
--- a/internal/serve/place/table.go
+++ b/internal/serve/place/table.go
@@ -239,13 +239,6 @@
 	delete(t.states, id)
 }
 
-// InFlight returns the calls that run on an upstream from here.
-func (t *Table) InFlight(id string) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.state(id).inFlight
-}
-
 // Warmest returns the upstream that a key hashes to, the same one on every
 // entry; false where there is none.
 func Warmest(key string, from []roster.Upstream) (roster.Upstream, bool) {
