beside/pieces, beside/direct: do not take the results of an earlier call

Cause, found by reading: answers to calls with pieces bear no name, so a second answer to an earlier call that comes where the next is due was taken for it, and requests got the results of others. Results that were answered before fail the call, and its connection is closed, as the right answer is still to come on it.

--- a/internal/beside/direct/outcome.go
+++ b/internal/beside/direct/outcome.go
@@ -60,7 +60,7 @@
 	Reply  Reply
 	// Body ends with io.EOF only where the answer is whole.
 	Body io.Reader
-	done func()
+	done func(keep bool)
 }
 
 // Rejected is an answer by which the upstream did not run the request.
--- a/internal/beside/direct/send.go
+++ b/internal/beside/direct/send.go
@@ -169,18 +169,23 @@
 		Reply:  reply,
 		Body:   body,
 
-		done: func() {
+		done: func(wanted bool) {
 			stopped := stop()
-			x.pool.release(x.conn, x.host, keep && body.whole && stopped && x.written())
+			x.pool.release(x.conn, x.host, wanted && keep && body.whole && stopped && x.written())
 		},
 	}
 }
 
 // Close gives the connection back where the body was read to its end, and
 // closes it otherwise, which tells the upstream to stop.
-func (a *Answered) Close() {
+func (a *Answered) Close() { a.end(true) }
+
+// Drop closes the connection, as where the answer proves to be another one's.
+func (a *Answered) Drop() { a.end(false) }
+
+func (a *Answered) end(keep bool) {
 	if a.done != nil {
-		a.done()
+		a.done(keep)
 		a.done = nil
 	}
 }
--- a/internal/beside/pieces/call.go
+++ b/internal/beside/pieces/call.go
@@ -65,13 +65,13 @@
 	case direct.Rejected:
 		return nil, &callError{full: true, err: fmt.Errorf("upstream %s rejected the call with status %d", u.ID, o.Status)}
 	case *direct.Answered:
-		return p.read(o, len(batch))
+		return p.read(u.ID, o, len(batch))
 	default:
 		panic(fmt.Sprintf("pieces: unhandled outcome %T", o))
 	}
 }
 
-func (p *pool) read(o *direct.Answered, n int) ([]Output, *callError) {
+func (p *pool) read(id string, o *direct.Answered, n int) ([]Output, *callError) {
 	defer o.Close()
 	body, err := io.ReadAll(io.LimitReader(o.Body, maxAnswerBytes))
 	if err != nil {
@@ -85,8 +85,17 @@
 		return nil, &callError{err: err}
 	}
 	if len(outputs) != n {
+		o.Drop()
 		return nil, &callError{err: fmt.Errorf("the answer has %d outputs for %d pieces", len(outputs), n)}
 	}
+	p.mu.Lock()
+	fresh := p.state(id).seen.fresh(time.Now(), outputs)
+	p.mu.Unlock()
+	if !fresh {
+		// The answer to this call is still to come on the connection.
+		o.Drop()
+		return nil, &callError{err: errSecondAnswer}
+	}
 	return outputs, nil
 }
 
@@ -183,6 +192,8 @@
 	errGone   = errors.New("an input of the pieces no longer exists")
 	errNoRoom = errors.New("no upstream has memory for the results")
 	errBroken = errors.New("the upstream failed the piece")
+	// errSecondAnswer says that an answer had results of an earlier call.
+	errSecondAnswer = errors.New("the answer is a second one to an earlier call")
 )
 
 // unmade decides what becomes of a piece that an upstream did not make.
--- a/internal/beside/pieces/owner.go
+++ b/internal/beside/pieces/owner.go
@@ -88,6 +88,8 @@
 	restTil time.Time
 	// pace is how many times its expected time a call takes.
 	pace float64
+	// seen are the results of late calls.
+	seen recent
 }
 
 // NewOwner returns an Owner without work.
--- a/internal/beside/pieces/pieces_test.go
+++ b/internal/beside/pieces/pieces_test.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,11 +51,19 @@
 	freed  []string
 	answer func(call int, items []Item) (int, []Output)
 	hold   chan struct{}
+	// connections counts those that were opened.
+	connections atomic.Int64
 }
 
 func newMaker(t *testing.T) *maker {
 	m := &maker{}
-	m.Server = httptest.NewServer(m)
+	m.Server = httptest.NewUnstartedServer(m)
+	m.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			m.connections.Add(1)
+		}
+	}
+	m.Start()
 	t.Cleanup(m.Close)
 	return m
 }
@@ -397,3 +407,25 @@
 		t.Errorf("a lost owner is found again: %s", next)
 	}
 }
+
+// An answer with the results of an earlier call, as an upstream that answers
+// twice gives on a kept connection, is not taken for the results of this one.
+func TestSecondAnswerIsNotTaken(t *testing.T) {
+	m := newMaker(t)
+	var first []Output
+	m.answer = func(call int, items []Item) (int, []Output) {
+		if call == 1 {
+			first = m.handles(call, items)
+		}
+		if call <= 2 {
+			return 200, first
+		}
+		return 200, m.handles(call, items)
+	}
+	o := newOwner(t, 1<<40, m)
+	checkMade(t, o.Do(context.Background(), order("r", 2)), "r", 2)
+	checkMade(t, o.Do(context.Background(), order("s", 2)), "s", 2)
+	if got, want := m.connections.Load(), int64(2); got < want {
+		t.Errorf("%d connections, want a new one behind the second answer", got)
+	}
+}
