--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -163,6 +163,7 @@
 	for _, w := range n.Upstreams {
 		g.table.Merge(roster.FromWord(w, now))
 	}
+	news.TakeHeard(g.table, n, now)
 	if n.Adopted == nil {
 		return
 	}
--- a/cmd/hawthornhub/registry.go
+++ b/cmd/hawthornhub/registry.go
@@ -108,7 +108,7 @@
 		Pool:  k.pool,
 		Seeds: s.Controls(),
 		Watch: func() *fleetpb.Watch { return &fleetpb.Watch{Self: k.self(), Version: noDocuments} },
-		Take:  func(n *fleetpb.News) { k.hub.Merge(n.Upstreams) },
+		Take:  func(n *fleetpb.News) { k.hub.Merge(n) },
 		Log:   k.log,
 	})
 	k.startGauges(k.gauge)
--- a/internal/fleet/news/hub.go
+++ b/internal/fleet/news/hub.go
@@ -82,12 +82,21 @@
 	h.publish(&fleetpb.News{Adopted: a})
 }
 
-// Merge takes over words that another control instance has passed on.
-func (h *Hub) Merge(words []*fleetpb.UpstreamWord) {
+// Merge takes over what another control instance tells of upstreams. What it
+// only heard of is not passed on: every process follows that instance itself.
+func (h *Hub) Merge(n *fleetpb.News) {
 	now := time.Now()
-	for _, w := range words {
+	for _, w := range n.Upstreams {
 		h.merge(roster.FromWord(w, now))
 	}
+	TakeHeard(h.cfg.Table, n, now)
+}
+
+// TakeHeard notes in a table which upstreams live by News received at now.
+func TakeHeard(t *roster.Table, n *fleetpb.News, now time.Time) {
+	for _, w := range n.Heard {
+		t.Heard(w.Id, w.Seq, now.Add(-time.Duration(w.AgeMs)*time.Millisecond))
+	}
 }
 
 // Announce takes over an upstream's own word. Where it changes anything, it
@@ -131,7 +140,7 @@
 	if w.owing.IsZero() {
 		w.owing = time.Now()
 	}
-	own := &fleetpb.News{Seq: w.seq, Upstreams: n.Upstreams, Adopted: n.Adopted, Peers: n.Peers, WholePeers: n.WholePeers}
+	own := &fleetpb.News{Seq: w.seq, Upstreams: n.Upstreams, Heard: n.Heard, Adopted: n.Adopted, Peers: n.Peers, WholePeers: n.WholePeers}
 	select {
 	case w.queue <- own:
 	default:
@@ -174,7 +183,7 @@
 // Serve tells a watcher of everything known and of each change until its
 // stream ends.
 func (h *Hub) Serve(ctx context.Context, st *link.Stream, first *fleetpb.Watch) {
-	h.Merge(first.Upstreams)
+	h.Merge(&fleetpb.News{Upstreams: first.Upstreams})
 	w := h.join(first)
 	h.cfg.Log.Info("watcher joined", zap.String("watcher", w.peer.GetName()), zap.String("kind", w.peer.GetRole()))
 	stop := context.AfterFunc(ctx, func() { st.Close() })
@@ -302,11 +311,12 @@
 	n := &fleetpb.News{}
 	for id := range h.refreshed {
 		if u, ok := h.cfg.Table.Get(id); ok {
-			n.Upstreams = append(n.Upstreams, u.Word(now))
+			age := max(0, now.Sub(u.Heard).Milliseconds())
+			n.Heard = append(n.Heard, &fleetpb.Heard{Id: u.ID, Seq: u.Seq, AgeMs: uint32(age)})
 		}
 	}
 	clear(h.refreshed)
-	if len(n.Upstreams) > 0 {
+	if len(n.Heard) > 0 {
 		h.publish(n)
 	}
 }
--- a/internal/fleet/news/news_test.go
+++ b/internal/fleet/news/news_test.go
@@ -83,6 +83,7 @@
 			for _, w := range n.Upstreams {
 				e.table.Merge(roster.FromWord(w, time.Now()))
 			}
+			TakeHeard(e.table, n, time.Now())
 		},
 		Log: zap.NewNop(),
 	})
@@ -168,7 +169,7 @@
 func TestControlsTellEachOther(t *testing.T) {
 	a, b := newController(t), newController(t)
 	between := newEntry(t, "between", b.server.Address())
-	between.cfg.Take = func(n *fleetpb.News) { a.hub.Merge(n.Upstreams) }
+	between.cfg.Take = func(n *fleetpb.News) { a.hub.Merge(n) }
 	e := newEntry(t, "e1", a.server.Address())
 	eventually(t, "the streams", func() bool { return a.hub.Watchers() >= 1 && b.hub.Watchers() >= 1 })
 	b.hub.Announce(context.Background(), upstream("u", roster.Ready, 1))
@@ -242,3 +243,17 @@
 		t.Errorf("dropped after %v, want about %v", took, silence)
 	}
 }
+
+// While nothing changes, watchers hear that an upstream lives.
+func TestLivingUpstreamIsHeard(t *testing.T) {
+	c := newController(t)
+	e := newEntry(t, "e1", c.server.Address())
+	c.hub.Announce(context.Background(), upstream("u", roster.Ready, 1))
+	eventually(t, "the upstream", func() bool { return e.state("u") == roster.Ready })
+	first, _ := e.table.Get("u")
+	c.hub.Announce(context.Background(), upstream("u", roster.Ready, 2))
+	eventually(t, "the next word", func() bool {
+		u, _ := e.table.Get("u")
+		return u.Seq == 2 && u.Heard.After(first.Heard) && u.Service == "s"
+	})
+}
--- a/internal/fleet/roster/table.go
+++ b/internal/fleet/roster/table.go
@@ -88,6 +88,22 @@
 	return Changed
 }
 
+// Heard notes that an upstream's word of a number, which changed nothing else,
+// was received at a time.
+func (t *Table) Heard(id string, seq uint64, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u, known := t.byID[id]
+	if !known || u.State == Left || seq < u.Seq {
+		return
+	}
+	u.Seq = seq
+	if at.After(u.Heard) {
+		u.Heard = at
+	}
+	t.put(u, u)
+}
+
 // newer reports whether u may replace have.
 func newer(have, u Upstream) bool {
 	if u.Born != have.Born {
