front/gateway: a stopping entry takes no stream that would outlast it

It now refuses streams while less is left than twice what those of the route usually take, so that their callers go elsewhere, and uses 0.4 s more of its grace period.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -36,7 +36,7 @@
 	// refused that no upstream has yet, and stopSent how long before it those
 	// are failed that no upstream has answered.
 	stopUnsent = time.Second
-	stopSent   = 300 * time.Millisecond
+	stopSent   = 100 * time.Millisecond
 	// balancerNotices is how long the balancer may still send connections after
 	// the process has said that it is not ready.
 	balancerNotices = 3 * time.Second
@@ -281,13 +281,13 @@
 // stop lets the balancer notice, finishes what has begun, and ends.
 func (g *gate) stop(ctx context.Context) error {
 	g.draining.Store(true)
-	g.server.Drain()
+	end, _ := ctx.Deadline()
+	g.server.Drain(end)
 	g.follower.Load().Tell(g.self())
 	select {
 	case <-ctx.Done():
 	case <-time.After(balancerNotices):
 	}
-	end, _ := ctx.Deadline()
 	defer time.AfterFunc(time.Until(end)-stopUnsent, g.server.StopWaiting).Stop()
 	defer time.AfterFunc(time.Until(end)-stopSent, g.server.StopSent).Stop()
 	err := g.callers.Shutdown(ctx)
--- a/cmd/hawthornhub/site.go
+++ b/cmd/hawthornhub/site.go
@@ -191,7 +191,7 @@
 }
 
 // graceMargin is kept of the grace period for ending the process itself.
-const graceMargin = 500 * time.Millisecond
+const graceMargin = 300 * time.Millisecond
 
 func (b *base) reload(apply func(settings.Site)) {
 	b.read = b.fileTime()
--- a/internal/front/gateway/doc.go
+++ b/internal/front/gateway/doc.go
@@ -16,5 +16,5 @@
 //	s := gateway.NewServer(gateway.Config{Wire: wire, Pool: pool, Router: router, ...})
 //	s.Configure(index)
 //	http.Serve(ln, s)
-//	s.Drain() // new answers close their connections
+//	s.Drain(end) // answers close their connections, long streams go elsewhere
 package gateway
--- a/internal/front/gateway/gateway_test.go
+++ b/internal/front/gateway/gateway_test.go
@@ -400,7 +400,7 @@
 
 func TestDrainClosesConnections(t *testing.T) {
 	f := newFixture(t, document(), newUpstream(t, ok).URL)
-	f.Drain()
+	f.Drain(time.Now().Add(10 * time.Second))
 	resp, _, err := f.call(t, "/safe/x")
 	if err != nil {
 		t.Fatalf("call: %v", err)
@@ -535,7 +535,7 @@
 	}
 	go call("/staged/x", "Pieces", "1,0,0")
 	<-arrived
-	f.Drain()
+	f.Drain(time.Now().Add(10 * time.Second))
 	f.StopWaiting()
 	close(block)
 	if got, want := <-statuses, "503"; got != want {
@@ -565,7 +565,7 @@
 		done <- resp.StatusCode
 	}()
 	time.Sleep(100 * time.Millisecond)
-	f.Drain()
+	f.Drain(time.Now().Add(10 * time.Second))
 	select {
 	case got := <-done:
 		if want := http.StatusServiceUnavailable; got != want {
@@ -575,3 +575,37 @@
 		t.Error("still held back a second after the drain")
 	}
 }
+
+// A process that stops takes no stream that would be cut at its end: another
+// one can serve it whole. What ends in time is still served.
+func TestStoppingProcessTakesNoLongStream(t *testing.T) {
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(100 * time.Millisecond)
+		writeEvents(2)(w, r)
+	})
+	f := newFixture(t, document(), u.URL)
+	status := func(path string) int {
+		resp, _, err := f.call(t, path)
+		if err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		return resp.StatusCode
+	}
+	if got, want := status("/stream/x"), http.StatusOK; got != want {
+		t.Fatalf("before the stop: status %d, want %d", got, want)
+	}
+	f.Drain(time.Now().Add(5 * time.Second))
+	if got, want := status("/stream/x"), http.StatusOK; got != want {
+		t.Errorf("with time left: status %d, want %d", got, want)
+	}
+	f.stopAt.Store(time.Now().Add(150 * time.Millisecond))
+	if got, want := status("/stream/x"), http.StatusServiceUnavailable; got != want {
+		t.Errorf("shortly before the end: status %d, want %d", got, want)
+	}
+	if got, want := status("/once/x"), http.StatusOK; got != want {
+		t.Errorf("a short request: status %d, want %d", got, want)
+	}
+	if got, want := u.runs.Load(), int64(3); got != want {
+		t.Errorf("%d runs, want %d", got, want)
+	}
+}
--- a/internal/front/gateway/respond.go
+++ b/internal/front/gateway/respond.go
@@ -122,6 +122,7 @@
 func (q *request) served(status int, passed int64) {
 	q.server.cfg.Metrics.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("answered").Inc(1)
 	q.server.cfg.Metrics.Timer("answer").Record(time.Since(q.began))
+	q.server.lasting.note(q.route.Name, time.Since(q.began))
 	q.server.cfg.Log.Info("request answered", q.fields(
 		zap.Int("status", status), zap.Duration("staged", q.staged), zap.Int64("bytes", passed))...)
 }
--- a/internal/front/gateway/server.go
+++ b/internal/front/gateway/server.go
@@ -72,7 +72,10 @@
 	waiting, sent       context.Context
 	endWaiting, endSent context.CancelFunc
 	budgets             sync.Map
-	open                atomic.Int64
+	lasting             lasting
+	// stopAt is when the process stops, once it drains.
+	stopAt atomic.Value
+	open   atomic.Int64
 }
 
 // NewServer returns a Server without a document.
@@ -100,9 +103,11 @@
 // Index returns the document held, nil for none.
 func (s *Server) Index() *site.Index { return s.index.Load() }
 
-// Drain closes the callers' connections after their next answer and refuses
-// requests that would have to be held back.
-func (s *Server) Drain() {
+// Drain closes the callers' connections after their next answer. It refuses
+// requests that would have to be held back, and streams that would last until
+// end, when the process stops.
+func (s *Server) Drain(end time.Time) {
+	s.stopAt.Store(end)
 	if s.draining.CompareAndSwap(false, true) {
 		close(s.drained)
 	}
@@ -188,7 +193,13 @@
 	if attributes.Left > 0 && attributes.Left < route.Timeout {
 		q.deadline = q.began.Add(attributes.Left)
 	}
-	return q, q.readBody(x.Limits.BodyBytes)
+	if f := q.readBody(x.Limits.BodyBytes); f != nil {
+		return q, f
+	}
+	if s.outlasts(route) {
+		return q, q.stopped()
+	}
+	return q, nil
 }
 
 // headerBytes is the size of a request's head as it was sent, about.
