front/gateway: never say "not run" after a send that may have run

Cause, found by reading: a safe request whose first answer was lost and whose second send was not run, or found nobody, was refused with 503, which says that it has not run. It is 502 now. Also: an upstream that answered a resumed stream with a failure kept its place in the count of calls.

--- a/internal/front/gateway/gateway_test.go
+++ b/internal/front/gateway/gateway_test.go
@@ -609,3 +609,18 @@
 		t.Errorf("%d runs, want %d", got, want)
 	}
 }
+
+// Once an upstream may have run a request, no later failure says that it has
+// not run.
+func TestNotRunIsTrue(t *testing.T) {
+	for name, first := range map[string]http.HandlerFunc{"lost": drop, "failed": fail} {
+		f := newFixture(t, document(), newUpstream(t, first).URL, newUpstream(t, reject).URL)
+		resp, _, err := f.call(t, "/safe/x")
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if got, want := resp.StatusCode, http.StatusBadGateway; got != want || resp.Header.Get("Retry-After") != "" {
+			t.Errorf("%s, then not run: status %d with Retry-After %q, want %d without", name, got, resp.Header.Get("Retry-After"), want)
+		}
+	}
+}
--- a/internal/front/gateway/request.go
+++ b/internal/front/gateway/request.go
@@ -33,14 +33,17 @@
 	account  string
 	rank     int
 
-	service  *site.Service
-	stages   []stageState
-	remakes  int
-	staged   time.Duration
-	sends    int
-	tried    []string
-	after    string
-	upstream string
+	service *site.Service
+	stages  []stageState
+	remakes int
+	staged  time.Duration
+	sends   int
+	// mayHaveRun is set once a send may have run: "not run" must not be said
+	// any more.
+	mayHaveRun bool
+	tried      []string
+	after      string
+	upstream   string
 }
 
 // fields returns what every log line on the request says.
@@ -228,6 +231,7 @@
 		return nil, notRun("the upstream could not be reached", shortRetry), true
 	case direct.Unknown:
 		s.cfg.Place.Ended(now, u.ID, place.End{Failed: ctx.Err() == nil})
+		q.mayHaveRun = true
 		f = mayHaveRun("the upstream's answer was lost", o.Err)
 		if ctx.Err() != nil {
 			return nil, q.timedOut(f), false
@@ -240,6 +244,7 @@
 
 // answered decides whether an answer is passed on.
 func (q *request) answered(now time.Time, u roster.Upstream, o *direct.Answered) (*direct.Answered, *refusal, bool) {
+	q.mayHaveRun = true
 	failed := o.Status >= http.StatusInternalServerError
 	if failed && q.idempotent() && q.again(u, fmt.Sprintf("status %d", o.Status), nil) {
 		o.Close()
--- a/internal/front/gateway/server.go
+++ b/internal/front/gateway/server.go
@@ -259,6 +259,9 @@
 }
 
 func (s *Server) refuse(w http.ResponseWriter, q *request, f *refusal) {
+	if q.mayHaveRun && f.status == http.StatusServiceUnavailable {
+		f = mayHaveRun(f.reason, f.err)
+	}
 	s.cfg.Metrics.Tagged(map[string]string{"status": strconv.Itoa(f.status)}).Counter("refused").Inc(1)
 	s.cfg.Log.Info("request refused", q.fields(
 		zap.Int("status", f.status), zap.String("reason", f.reason), zap.Duration("retry", f.retry), zap.Error(f.err))...)
--- a/internal/front/gateway/stream.go
+++ b/internal/front/gateway/stream.go
@@ -172,6 +172,7 @@
 	}
 	if next.Status != http.StatusOK {
 		next.Close()
+		s.server.cfg.Place.Ended(time.Now(), s.upstream, place.End{Failed: true})
 		return nil, f
 	}
 	return next, nil
