serve, beside, cmd: one piece of code where the platform's roles had written it again

Read through as a whole, the roles for the users' platform held copies of what stood elsewhere. Now there is one of each:

- rendezvous hashing, three times (serve/route, serve/place, beside/pieces), is serve/rendezvous.
The owner of a service of pieces is drawn with the mixing of the other two: another entry may own it than before, all still agree;
- the silence from which an upstream is doubtful, twice, is roster.Upstream.Silent;
- the usual time of a call with pieces, twice, is gather.Config.Usual;
- direct.Load and place.Report were the same; a report is only noted where one came, in place of an empty one;
- names, zone and key of the settings, the actor system's log, listening for HTTP, and ending a watcher's queue.

Gone, as nothing read them: worth and number of a group, time of an unknown outcome, names of piece services, a cancel for each followed instance. The order in a queue is one comparison, not two. Tests keep their assertions.

--- a/cmd/hawthornhub/registry.go
+++ b/cmd/hawthornhub/registry.go
@@ -17,6 +17,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/control"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/fleet/news"
+	"hawthornhub.example/hawthornhub/internal/fleet/process"
 	"hawthornhub.example/hawthornhub/internal/fleet/replica"
 	"hawthornhub.example/hawthornhub/internal/fleet/roster"
 	"hawthornhub.example/hawthornhub/internal/front/registry"
@@ -74,7 +75,7 @@
 
 func (k *keeper) start() error {
 	s := k.settings
-	k.system = k.actors()
+	k.system = process.Actors(k.log)
 	k.table = roster.New(roster.Config{})
 	k.hub = news.NewHub(news.HubConfig{Self: k.self, Table: k.table, Voters: k.voters, Log: k.log})
 	var err error
--- a/cmd/hawthornhub/run.go
+++ b/cmd/hawthornhub/run.go
@@ -48,17 +48,25 @@
 
 // serveHTTP starts an HTTP server.
 func serveHTTP(address string, handler http.Handler, log *zap.Logger) (*http.Server, error) {
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(log)}
+	if err := listenHTTP(address, srv, log); err != nil {
+		return nil, fmt.Errorf("%w; check the setting listen.http", err)
+	}
+	return srv, nil
+}
+
+// listenHTTP serves an HTTP server at an address until it is closed.
+func listenHTTP(address string, srv *http.Server, log *zap.Logger) error {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, fmt.Errorf("listen for HTTP: %w; check the setting listen.http", err)
+		return fmt.Errorf("listen for HTTP: %w", err)
 	}
-	srv := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(log)}
 	go func() {
 		if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			log.Error("HTTP server", zap.Error(err))
+			log.Error("HTTP server ended", zap.String("address", address), zap.Error(err))
 		}
 	}()
-	return srv, nil
+	return nil
 }
 
 // waitForStop returns at the first SIGTERM or SIGINT. The returned context
--- a/cmd/hawthornhub/site.go
+++ b/cmd/hawthornhub/site.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"log/slog"
-	"net"
+	"fmt"
 	"net/http"
 	"os"
 	"os/signal"
@@ -12,10 +11,8 @@
 	"syscall"
 	"time"
 
-	"github.com/asynkron/protoactor-go/actor"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
-	"go.uber.org/zap/exp/zapslog"
 	"go.uber.org/zap/zapcore"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
@@ -92,12 +89,6 @@
 	return b, nil
 }
 
-func (b *base) actors() *actor.ActorSystem {
-	return actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
-		return slog.New(zapslog.NewHandler(b.log.Core(), zapslog.WithName("actor")))
-	}))
-}
-
 // forgetSilent is how much longer than one that has left an upstream is
 // remembered that has fallen silent.
 const forgetSilent = time.Minute
@@ -137,16 +128,9 @@
 
 // serveOn starts an HTTP server at an address of the settings.
 func (b *base) serveOn(address string, srv *http.Server) error {
-	ln, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
+	if err := listenHTTP(address, srv, b.log); err != nil {
+		return fmt.Errorf("%w; check the setting listen", err)
 	}
-	srv.ErrorLog = zap.NewStdLog(b.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))
-	go func() {
-		if err := srv.Serve(ln); err != http.ErrServerClosed {
-			b.log.Error("HTTP server ended", zap.String("address", address), zap.Error(err))
-		}
-	}()
 	return nil
 }
 
--- a/internal/beside/direct/outcome.go
+++ b/internal/beside/direct/outcome.go
@@ -3,7 +3,8 @@
 import (
 	"io"
 	"net/http"
-	"time"
+
+	"hawthornhub.example/hawthornhub/internal/serve/place"
 )
 
 // Target is one upstream at one address.
@@ -29,13 +30,6 @@
 	Body   []byte
 }
 
-// Load is what an upstream says of itself with an answer.
-type Load struct {
-	Running, Waiting, Slots int
-	// Slowness is how many times its usual time work takes now, 0 if unknown.
-	Slowness float64
-}
-
 // Reply is what the headers of an answer say.
 type Reply struct {
 	// ID is the request that it answers, empty where none is named.
@@ -45,7 +39,7 @@
 	// Misdirected is set where another upstream has the address.
 	Misdirected bool
 	// Load is nil where the upstream does not tell it.
-	Load *Load
+	Load *place.Report
 }
 
 // Outcome is how a send ended: Answered, Rejected, NotSent or Unknown.
@@ -73,11 +67,7 @@
 type NotSent struct{ Err error }
 
 // Unknown says that the request may have run.
-type Unknown struct {
-	Err error
-	// After is the time since the request was sent.
-	After time.Duration
-}
+type Unknown struct{ Err error }
 
 func (*Answered) isOutcome() {}
 func (Rejected) isOutcome()  {}
--- a/internal/beside/direct/send.go
+++ b/internal/beside/direct/send.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"go.uber.org/zap"
 )
@@ -30,7 +29,6 @@
 	conn    *conn
 	host    *host
 	request Request
-	sent    time.Time
 	// wrote receives the end of the writing.
 	wrote chan error
 	whole bool
@@ -47,13 +45,13 @@
 		p.release(c, h, c.used > 0)
 		return NotSent{Err: err}
 	}
-	x := &exchange{pool: p, conn: c, host: h, request: r, sent: time.Now(), wrote: make(chan error, 1)}
+	x := &exchange{pool: p, conn: c, host: h, request: r, wrote: make(chan error, 1)}
 	c.used++
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	if err := x.write(); err != nil {
 		stop()
 		p.release(c, h, false)
-		return Unknown{Err: fmt.Errorf("send to upstream %s: %w", t.ID, err), After: time.Since(x.sent)}
+		return Unknown{Err: fmt.Errorf("send to upstream %s: %w", t.ID, err)}
 	}
 	return x.receive(stop)
 }
@@ -133,10 +131,7 @@
 func (x *exchange) broken(stop func() bool, err error) Outcome {
 	stop()
 	x.pool.release(x.conn, x.host, false)
-	return Unknown{
-		Err:   fmt.Errorf("no answer from upstream %s: %w", x.conn.target.ID, err),
-		After: time.Since(x.sent),
-	}
+	return Unknown{Err: fmt.Errorf("no answer from upstream %s: %w", x.conn.target.ID, err)}
 }
 
 // written reports whether the whole request has been written.
--- a/internal/beside/pieces/order.go
+++ b/internal/beside/pieces/order.go
@@ -19,10 +19,9 @@
 	// is late.
 	Left, Objective time.Duration
 	// Rest is the expected time of what follows the stage.
-	Rest  time.Duration
-	Rank  int
-	Worth float64
-	Zone  string
+	Rest time.Duration
+	Rank int
+	Zone string
 	// ResultBytes is the size of the result of a piece.
 	ResultBytes int64
 	// Dispatched is told when the last piece has gone to an upstream, which
--- a/internal/beside/pieces/owner.go
+++ b/internal/beside/pieces/owner.go
@@ -22,9 +22,6 @@
 	restAfterFailure = time.Second
 	// restAfterFull is how long an upstream that had no room is not called.
 	restAfterFull = 60 * time.Millisecond
-	// silentAfter is the silence from which an upstream is called only when
-	// there is no other.
-	silentAfter = 2200 * time.Millisecond
 	// patience is the multiple of its expected time after which a call is given
 	// up, and patienceLeast is added to it.
 	patience      = 3
@@ -53,7 +50,6 @@
 	cancel context.CancelFunc
 	mu     sync.Mutex
 	pools  map[string]*pool
-	nextID uint64
 	wg     sync.WaitGroup
 }
 
@@ -104,7 +100,7 @@
 	if !ok || described.Pieces == nil {
 		return nil, false
 	}
-	cfg := gather.Config{Batch: described.Pieces.Batch, Call: described.Pieces.Call, Item: described.Pieces.Item}
+	cfg := gather.ConfigOf(described.Pieces)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	p := o.pools[service]
@@ -133,12 +129,7 @@
 		return Failed{Err: &UnknownServiceError{Service: order.Service}}
 	}
 	now := time.Now()
-	o.mu.Lock()
-	o.nextID++
-	id := o.nextID
-	o.mu.Unlock()
 	g := gather.NewGroup(gather.Group{
-		ID:        id,
 		Request:   order.Request,
 		Service:   order.Service,
 		Stage:     order.Stage,
@@ -149,7 +140,6 @@
 		Objective: now.Add(order.Objective),
 		Rest:      order.Rest,
 		Rank:      order.Rank,
-		Worth:     order.Worth,
 		Zone:      order.Zone,
 
 		ResultBytes: order.ResultBytes,
@@ -208,7 +198,7 @@
 	all := p.owner.cfg.Upstreams(p.service)
 	var out []roster.Upstream
 	for _, u := range all {
-		if now.Sub(u.Heard) <= silentAfter && !now.Before(p.state(u.ID).restTil) {
+		if !u.Silent(now) && !now.Before(p.state(u.ID).restTil) {
 			out = append(out, u)
 		}
 	}
--- a/internal/beside/pieces/remote.go
+++ b/internal/beside/pieces/remote.go
@@ -32,7 +32,6 @@
 		AimMs:   o.Objective.Milliseconds(),
 		RestMs:  o.Rest.Milliseconds(),
 		Rank:    int32(o.Rank),
-		Worth:   o.Worth,
 		Zone:    o.Zone,
 
 		ResultBytes: o.ResultBytes,
@@ -51,7 +50,6 @@
 		Objective: time.Duration(m.AimMs) * time.Millisecond,
 		Rest:      time.Duration(m.RestMs) * time.Millisecond,
 		Rank:      int(m.Rank),
-		Worth:     m.Worth,
 		Zone:      m.Zone,
 
 		ResultBytes: m.ResultBytes,
--- a/internal/beside/pieces/router.go
+++ b/internal/beside/pieces/router.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"hash/fnv"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
+	"hawthornhub.example/hawthornhub/internal/serve/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
 
@@ -62,22 +62,13 @@
 
 // ownerOf returns the address of a service's owner among addresses.
 func ownerOf(service string, addresses []string, except map[string]bool) (string, bool) {
-	best, found := "", false
-	var most uint64
+	var able []string
 	for _, a := range addresses {
-		if except[a] {
-			continue
-		}
-		h := fnv.New64a()
-		h.Write([]byte(service))
-		h.Write([]byte{0})
-		h.Write([]byte(a))
-		w := h.Sum64() * 0x9e3779b97f4a7c15
-		if !found || w > most {
-			best, most, found = a, w, true
+		if !except[a] {
+			able = append(able, a)
 		}
 	}
-	return best, found
+	return rendezvous.Best(service, able, func(a string) string { return a })
 }
 
 // errOwnerLost says that an owner went away with an order.
--- a/internal/fleet/news/follower.go
+++ b/internal/fleet/news/follower.go
@@ -49,7 +49,6 @@
 // source is one control instance.
 type source struct {
 	address string
-	cancel  context.CancelFunc
 	stream  *link.Stream
 	// peers is its last list, kept while it is away.
 	peers     []*fleetpb.Peer
@@ -72,11 +71,10 @@
 		if a == f.own || f.sources[a] != nil || f.ctx.Err() != nil {
 			continue
 		}
-		ctx, cancel := context.WithCancel(f.ctx)
-		s := &source{address: a, cancel: cancel}
+		s := &source{address: a}
 		f.sources[a] = s
 		f.wg.Add(1)
-		go f.follow(ctx, s)
+		go f.follow(s)
 	}
 }
 
@@ -143,13 +141,13 @@
 	}
 }
 
-func (f *Follower) follow(ctx context.Context, s *source) {
+func (f *Follower) follow(s *source) {
 	defer f.wg.Done()
-	for ctx.Err() == nil {
-		err := f.watch(ctx, s)
+	for f.ctx.Err() == nil {
+		err := f.watch(f.ctx, s)
 		f.disconnected(s, err)
 		select {
-		case <-ctx.Done():
+		case <-f.ctx.Done():
 		case <-time.After(redial):
 		}
 	}
--- a/internal/fleet/news/hub.go
+++ b/internal/fleet/news/hub.go
@@ -58,6 +58,14 @@
 	behind bool
 }
 
+// end lets the sender finish what is queued and end. The hub's mu is held.
+func (w *watcher) end() {
+	if !w.behind {
+		w.behind = true
+		close(w.queue)
+	}
+}
+
 // NewHub returns a Hub without watchers.
 func NewHub(cfg HubConfig) *Hub {
 	h := &Hub{
@@ -144,8 +152,7 @@
 	select {
 	case w.queue <- own:
 	default:
-		w.behind = true
-		close(w.queue)
+		w.end()
 	}
 }
 
@@ -231,10 +238,7 @@
 	}
 	delete(h.watchers, w)
 	close(w.moved)
-	if !w.behind {
-		w.behind = true
-		close(w.queue)
-	}
+	w.end()
 	h.publish(h.peers())
 }
 
@@ -347,10 +351,7 @@
 	close(h.done)
 	h.mu.Lock()
 	for w := range h.watchers {
-		if !w.behind {
-			w.behind = true
-			close(w.queue)
-		}
+		w.end()
 	}
 	h.mu.Unlock()
 	h.wg.Wait()
--- a/internal/fleet/process/process.go
+++ b/internal/fleet/process/process.go
@@ -74,9 +74,7 @@
 		Log:         cfg.Log,
 		places:      make(map[string]*fleetpb.Member),
 	}
-	p.System = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
-		return slog.New(zapslog.NewHandler(cfg.Log.Core(), zapslog.WithName("actor")))
-	}))
+	p.System = Actors(cfg.Log)
 	p.Timeline = timeline.NewRecorder(timeline.Config{Process: s.Name, Log: cfg.Log})
 	auth, err := p.auth()
 	if err != nil {
@@ -108,6 +106,13 @@
 	return p, nil
 }
 
+// Actors returns an actor system that logs where the process does.
+func Actors(log *zap.Logger) *actor.ActorSystem {
+	return actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
+		return slog.New(zapslog.NewHandler(log.Core(), zapslog.WithName("actor")))
+	}))
+}
+
 // Addresses returns the control instances of the settings.
 func Addresses(s settings.Settings) []control.Address {
 	var out []control.Address
--- a/internal/fleet/roster/upstream.go
+++ b/internal/fleet/roster/upstream.go
@@ -49,6 +49,14 @@
 	Heard time.Time
 }
 
+// silentAfter is the silence from which an upstream is doubtful. One that lives
+// is never older: its words are spread every few tenths of a second.
+const silentAfter = 2200 * time.Millisecond
+
+// Silent reports whether nothing was heard of the upstream for so long that it
+// should be called only where there is no other.
+func (u Upstream) Silent(now time.Time) bool { return now.Sub(u.Heard) > silentAfter }
+
 // WithState returns the upstream in another state.
 func (u Upstream) WithState(s State) Upstream {
 	u.State = s
--- a/internal/front/gateway/doc.go
+++ b/internal/front/gateway/doc.go
@@ -13,7 +13,7 @@
 //
 // # Usage
 //
-//	s := gateway.NewServer(gateway.Config{Wire: wire, Pool: pool, Router: router, ...})
+//	s := gateway.NewServer(gateway.Config{Wire: wire, Send: pool.Send, Stages: router.Do, ...})
 //	s.Configure(index)
 //	http.Serve(ln, s)
 //	s.Drain(end) // answers close their connections, long streams go elsewhere
--- a/internal/front/gateway/request.go
+++ b/internal/front/gateway/request.go
@@ -215,7 +215,7 @@
 	case *direct.Answered:
 		return q.answered(now, u, o)
 	case direct.Rejected:
-		s.cfg.Place.Ended(now, u.ID, place.End{Full: true, Report: reportOf(o.Reply.Load)})
+		s.cfg.Place.Ended(now, u.ID, place.End{Full: true, Report: o.Reply.Load})
 		f = notRun(fmt.Sprintf("the upstream did not take the request: status %d", o.Status), shortRetry)
 		if f.inputsGone = o.Status == http.StatusConflict && len(q.stages) > 0; f.inputsGone {
 			return nil, f, false
@@ -248,18 +248,13 @@
 	failed := o.Status >= http.StatusInternalServerError
 	if failed && q.idempotent() && q.again(u, fmt.Sprintf("status %d", o.Status), nil) {
 		o.Close()
-		q.server.cfg.Place.Ended(now, u.ID, place.End{Failed: true, Report: reportOf(o.Reply.Load)})
+		q.server.cfg.Place.Ended(now, u.ID, place.End{Failed: true, Report: o.Reply.Load})
 		return nil, mayHaveRun(fmt.Sprintf("the upstream failed: status %d", o.Status), nil), true
 	}
-	q.server.cfg.Place.Report(now, u.ID, orZero(reportOf(o.Reply.Load)))
-	return o, nil, false
-}
-
-func orZero(r *place.Report) place.Report {
-	if r == nil {
-		return place.Report{}
+	if o.Reply.Load != nil {
+		q.server.cfg.Place.Report(now, u.ID, *o.Reply.Load)
 	}
-	return *r
+	return o, nil, false
 }
 
 // again reports whether the request may be sent once more, and logs why.
@@ -303,10 +298,3 @@
 		}),
 	}
 }
-
-func reportOf(l *direct.Load) *place.Report {
-	if l == nil {
-		return nil
-	}
-	return &place.Report{Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Slowness: l.Slowness}
-}
--- a/internal/front/gateway/stages.go
+++ b/internal/front/gateway/stages.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"hawthornhub.example/hawthornhub/internal/beside/pieces"
+	"hawthornhub.example/hawthornhub/internal/serve/gather"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
@@ -21,8 +22,6 @@
 	// maxRemakes is how often the stages of a request are made again after
 	// results of theirs have expired.
 	maxRemakes = 2
-	// usualShare is the usual filling of a batch, in percent.
-	usualShare = 60
 )
 
 // stageState is what is known of one stage of a request.
@@ -215,7 +214,7 @@
 	if !ok || s.Pieces == nil || q.pieces(stage) == 0 {
 		return 0
 	}
-	return s.Pieces.Call + time.Duration(s.Pieces.Batch*usualShare/100)*s.Pieces.Item
+	return gather.ConfigOf(s.Pieces).Usual()
 }
 
 // take takes news of a stage.
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -168,17 +168,8 @@
 }
 
 func (s Settings) faults(role Role) []string {
-	var out []string
+	out := identityFaults(s.Name, s.Zone, s.FleetKeyFile)
 	add := func(field, remedy string) { out = append(out, field+": "+remedy) }
-	if s.Name == "" {
-		add("name", "missing; give the instance a name that is unique in the fleet")
-	}
-	if s.Zone == "" {
-		add("zone", "missing; give the availability zone")
-	}
-	if s.FleetKeyFile == "" {
-		add("fleet_key_file", "missing; name the file with the fleet's shared key")
-	}
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
 	default:
@@ -204,6 +195,21 @@
 	return append(out, s.roleFaults(role)...)
 }
 
+// identityFaults checks what every process is told of itself.
+func identityFaults(name, zone, keyFile string) []string {
+	var out []string
+	if name == "" {
+		out = append(out, "name: missing; give the instance a name that is unique in the fleet")
+	}
+	if zone == "" {
+		out = append(out, "zone: missing; give the availability zone")
+	}
+	if keyFile == "" {
+		out = append(out, "fleet_key_file: missing; name the file with the fleet's shared key")
+	}
+	return out
+}
+
 func (s Settings) roleFaults(role Role) []string {
 	var out []string
 	switch role {
--- a/internal/operator/settings/site.go
+++ b/internal/operator/settings/site.go
@@ -88,17 +88,8 @@
 }
 
 func (s Site) faults(role Role) []string {
-	var out []string
+	out := identityFaults(s.Name, s.Zone, s.FleetKeyFile)
 	add := func(field, remedy string) { out = append(out, field+": "+remedy) }
-	if s.Name == "" {
-		add("name", "missing; give the instance a name that is unique in the fleet")
-	}
-	if s.Zone == "" {
-		add("zone", "missing; give the availability zone")
-	}
-	if s.FleetKeyFile == "" {
-		add("fleet_key_file", "missing; name the file with the fleet's shared key")
-	}
 	if len(s.Seeds) == 0 {
 		add("seeds", "missing; list control instances")
 	}
--- a/internal/serve/gather/group.go
+++ b/internal/serve/gather/group.go
@@ -4,8 +4,6 @@
 
 // Group is the pieces of one stage of one request.
 type Group struct {
-	// ID is unique in the queue.
-	ID      uint64
 	Request string
 	Service string
 	Stage   int
@@ -18,10 +16,9 @@
 	Deadline, Objective time.Time
 	// Rest is the expected time of what follows the stage.
 	Rest time.Duration
-	// Rank is the priority, 0 first; Worth weighs within a rank.
-	Rank  int
-	Worth float64
-	Zone  string
+	// Rank is the priority, 0 first.
+	Rank int
+	Zone string
 	// ResultBytes is the size of the result of a piece.
 	ResultBytes int64
 
--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -1,8 +1,11 @@
 package gather
 
 import (
+	"cmp"
 	"slices"
 	"time"
+
+	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
 // Config describes each upstream of a service.
@@ -13,6 +16,22 @@
 	Call, Item time.Duration
 }
 
+// ConfigOf returns the Config of a service.
+func ConfigOf(p *site.Pieces) Config {
+	return Config{Batch: p.Batch, Call: p.Call, Item: p.Item}
+}
+
+// Duration returns the expected time of a call with n pieces.
+func (c Config) Duration(n int) time.Duration {
+	return c.Call + time.Duration(n)*c.Item
+}
+
+// Usual is the expected time of a call while there is much to do.
+func (c Config) Usual() time.Duration { return c.Duration(c.Batch * usualShare / 100) }
+
+// usualShare is the usual filling of a batch, in percent.
+const usualShare = 60
+
 // Queue holds the groups with pieces to hand out. It is not safe for
 // concurrent use.
 type Queue struct {
@@ -31,9 +50,7 @@
 func (q *Queue) Waiting() int { return q.waiting }
 
 // Duration returns the expected time of a call with n pieces.
-func (q *Queue) Duration(n int) time.Duration {
-	return q.cfg.Call + time.Duration(n)*q.cfg.Item
-}
+func (q *Queue) Duration(n int) time.Duration { return q.cfg.Duration(n) }
 
 // rate returns the pieces a second of upstreams with full batches.
 func (q *Queue) rate(upstreams int) float64 {
@@ -56,7 +73,7 @@
 	}
 	ahead := 0
 	for _, other := range q.groups {
-		if before(now, other, g, q.usual()) {
+		if compare(now, other, g, q.cfg.Usual()) < 0 {
 			ahead += len(other.todo)
 		}
 	}
@@ -147,39 +164,28 @@
 // before they are spread.
 const spreadShare = 4
 
-// usual is the expected time of a call while there is much to do.
-func (q *Queue) usual() time.Duration { return q.Duration(q.cfg.Batch * usualShare / 100) }
-
-// usualShare is the usual filling of a batch, in percent.
-const usualShare = 60
-
 func (q *Queue) sort(now time.Time) {
-	least := q.usual()
-	slices.SortStableFunc(q.groups, func(a, b *Group) int {
-		switch {
-		case before(now, a, b, least):
-			return -1
-		case before(now, b, a, least):
-			return 1
-		default:
-			return 0
-		}
-	})
+	usual := q.cfg.Usual()
+	slices.SortStableFunc(q.groups, func(a, b *Group) int { return compare(now, a, b, usual) })
 }
 
-// before reports whether a goes before b: on time before late, then by rank,
-// then by slack; late ones by rank and age.
-func before(now time.Time, a, b *Group, least time.Duration) bool {
-	if a.late(now, least) != b.late(now, least) {
-		return !a.late(now, least)
-	}
-	if a.Rank != b.Rank {
-		return a.Rank < b.Rank
-	}
-	if a.late(now, least) {
-		return a.Arrived.Before(b.Arrived)
+// compare orders groups: on time before late, then by rank, then by slack; late
+// ones by rank and age.
+func compare(now time.Time, a, b *Group, usual time.Duration) int {
+	late := a.late(now, usual)
+	switch {
+	case late != b.late(now, usual):
+		if late {
+			return 1
+		}
+		return -1
+	case a.Rank != b.Rank:
+		return cmp.Compare(a.Rank, b.Rank)
+	case late:
+		return a.Arrived.Compare(b.Arrived)
+	default:
+		return cmp.Compare(a.slack(now, usual), b.slack(now, usual))
 	}
-	return a.slack(now, least) < b.slack(now, least)
 }
 
 // late reports whether the group cannot be on time any more.
--- a/internal/serve/place/doc.go
+++ b/internal/serve/place/doc.go
@@ -14,6 +14,5 @@
 //
 //	t := place.New(place.Config{Zone: zone, Random: rand.IntN})
 //	u, ok := t.Pick(now, place.Need{Prefix: part}, candidates)
-//	t.Began(u.ID)
 //	t.Ended(now, u.ID, place.End{Load: load})
 package place
--- a/internal/serve/place/table.go
+++ b/internal/serve/place/table.go
@@ -1,19 +1,17 @@
 package place
 
 import (
-	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/roster"
+	"hawthornhub.example/hawthornhub/internal/serve/rendezvous"
 )
 
 const (
 	// reportLife is how long a report of load counts, falling linearly.
 	reportLife = time.Second
-	// silentAfter is the silence from which an upstream is avoided.
-	silentAfter = 2200 * time.Millisecond
 	// failShare is the weight of a new observation in a failure rate.
 	failShare = 0.2
 	// failLife is the time in which a failure rate halves without calls.
@@ -120,7 +118,7 @@
 		if slices.Contains(need.Except, u.ID) {
 			continue
 		}
-		if now.Sub(u.Heard) > silentAfter || now.Before(t.state(u.ID).restTil) {
+		if u.Silent(now) || now.Before(t.state(u.ID).restTil) {
 			doubtful = append(doubtful, u)
 			continue
 		}
@@ -143,7 +141,7 @@
 	}
 	wanted, score := t.ofTwo(now, near)
 	if need.Prefix != "" {
-		wanted = warmest(need.Prefix, near)
+		wanted, _ = Warmest(need.Prefix, near)
 		score = t.score(now, wanted)
 	}
 	if score <= bestScore+affinityRoom {
@@ -242,33 +240,5 @@
 // Warmest returns the upstream that a key hashes to, the same one on every
 // entry; false where there is none.
 func Warmest(key string, from []roster.Upstream) (roster.Upstream, bool) {
-	if len(from) == 0 {
-		return roster.Upstream{}, false
-	}
-	return warmest(key, from), true
-}
-
-// warmest returns the upstream that a prefix hashes to. Every entry finds the
-// same one.
-func warmest(prefix string, able []roster.Upstream) roster.Upstream {
-	best := able[0]
-	most := weight(prefix, best.ID)
-	for _, u := range able[1:] {
-		if w := weight(prefix, u.ID); w > most {
-			best, most = u, w
-		}
-	}
-	return best
-}
-
-// weight is the rendezvous weight of an upstream for a key.
-func weight(key, id string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(key))
-	h.Write([]byte{0})
-	h.Write([]byte(id))
-	sum := h.Sum64()
-	sum ^= sum >> 33
-	sum *= 0xff51afd7ed558ccd
-	return sum ^ sum>>33
+	return rendezvous.Best(key, from, func(u roster.Upstream) string { return u.ID })
 }
--- a/internal/serve/place/table_test.go
+++ b/internal/serve/place/table_test.go
@@ -36,7 +36,7 @@
 
 func TestAvoided(t *testing.T) {
 	from := upstreams(4)
-	from[0].Heard = t0.Add(-2 * silentAfter)
+	from[0].Heard = t0.Add(-4400 * time.Millisecond)
 	table := newTable(1)
 	table.Ended(t0, "u1", End{Unreachable: true})
 	table.Ended(t0, "u2", End{Full: true})
--- /dev/null
+++ b/internal/serve/rendezvous/rendezvous_test.go
@@ -0,0 +1,38 @@
+package rendezvous
+
+import (
+	"fmt"
+	"testing"
+)
+
+func own(name string) string { return name }
+
+func TestOnlyTheKeysOfALostNameMove(t *testing.T) {
+	names := []string{"10.1.0.1:7740", "10.1.0.2:7740", "10.1.0.3:7740", "10.1.0.4:7740"}
+	counts := make(map[string]int)
+	for i := range 4000 {
+		key := fmt.Sprint("k", i)
+		with, _ := Best(key, names, own)
+		without, _ := Best(key, names[1:], own)
+		counts[with]++
+		if with != names[0] && with != without {
+			t.Fatalf("key %s moves from %s to %s although its name stays", key, with, without)
+		}
+	}
+	for _, n := range names {
+		if got := counts[n]; got < 800 || got > 1200 {
+			t.Errorf("%s has %d of 4000 keys, want about 1000", n, got)
+		}
+	}
+}
+
+func TestOrderDoesNotMatter(t *testing.T) {
+	a, _ := Best("k", []string{"x", "y", "z"}, own)
+	b, _ := Best("k", []string{"z", "x", "y"}, own)
+	if a != b {
+		t.Errorf("got %s and %s", a, b)
+	}
+	if _, ok := Best("k", nil, own); ok {
+		t.Error("something was chosen among nothing")
+	}
+}
--- a/internal/serve/route/pick.go
+++ b/internal/serve/route/pick.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"hawthornhub.example/hawthornhub/internal/serve/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/state/document"
 )
 
@@ -79,14 +80,9 @@
 	return best, bestUs
 }
 
-// warmest returns the upstream that a prefix belongs to.
+// warmest returns the upstream that a prefix belongs to; able is not empty.
 func warmest(able []*state, prefix string) *state {
-	best := able[0]
-	for _, s := range able[1:] {
-		if weight(prefix, s.Name) > weight(prefix, best.Name) {
-			best = s
-		}
-	}
+	best, _ := rendezvous.Best(prefix, able, func(s *state) string { return s.Name })
 	return best
 }
 
--- a/internal/serve/route/table.go
+++ b/internal/serve/route/table.go
@@ -1,13 +1,13 @@
 package route
 
 import (
-	"hash/fnv"
 	"math"
 	"sort"
 	"sync"
 	"time"
 
 	"hawthornhub.example/hawthornhub/internal/serve/estimate"
+	"hawthornhub.example/hawthornhub/internal/serve/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/state/document"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
@@ -198,21 +198,10 @@
 		if (a.Zone == t.cfg.Zone) != (b.Zone == t.cfg.Zone) {
 			return a.Zone == t.cfg.Zone
 		}
-		return weight(t.cfg.Entry, a.Name) > weight(t.cfg.Entry, b.Name)
+		return rendezvous.Weight(t.cfg.Entry, a.Name) > rendezvous.Weight(t.cfg.Entry, b.Name)
 	})
 }
 
-func weight(a, b string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(a))
-	h.Write([]byte{0})
-	h.Write([]byte(b))
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>33
-}
-
 // Word takes an agent's word that came with a heartbeat.
 func (t *Table) Word(now time.Time, link string, w *fleetpb.Word) {
 	t.mu.Lock()
--- a/internal/state/site/index.go
+++ b/internal/state/site/index.go
@@ -12,8 +12,6 @@
 	hosts    map[string][]*Route
 	services map[string]*Service
 	accounts map[string]*Account
-	// pieces are the names of the services that work on pieces.
-	pieces []string
 }
 
 // NewIndex returns the Index of a valid document.
@@ -27,9 +25,6 @@
 	for i := range d.Services {
 		s := &d.Services[i]
 		x.services[s.Name] = s
-		if s.Pieces != nil {
-			x.pieces = append(x.pieces, s.Name)
-		}
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
@@ -63,9 +58,6 @@
 	return s, ok
 }
 
-// PieceServices returns the names of the services that work on pieces.
-func (x *Index) PieceServices() []string { return x.pieces }
-
 // Guarded reports whether requests need a key.
 func (x *Index) Guarded() bool { return len(x.Accounts) > 0 }
 
