front/relay, replica, news, deploy: a core that bears two lost disks

Cause: one control instance a zone is three or four voters; the grown deployments ask for the loss of two disks.

Now two a zone. On the standard deployments the second one has no disk: it is a relay, which redirects servers and the operator and tells processes where the control instances are; it shows the identity 0 in an introduction, so that seeds without a disk do not hold up the forming of the log. An instance that joins introduces itself to every control instance it has found: after the loss of two seeds the leader may be none of the seeds.

--- a/cmd/hawthornhub/registry.go
+++ b/cmd/hawthornhub/registry.go
@@ -53,7 +53,7 @@
 	table    *roster.Table
 	replica  atomic.Pointer[replica.Replica]
 	started  chan struct{}
-	follower *news.Follower
+	follower atomic.Pointer[news.Follower]
 	links    *link.Server
 	http     *http.Server
 }
@@ -64,11 +64,14 @@
 	if err != nil {
 		return err
 	}
+	if b.settings.Replica.Relay {
+		return runRelay(b)
+	}
 	k := &keeper{base: b, started: make(chan struct{})}
 	if err := k.start(); err != nil {
 		return err
 	}
-	ctx, cancel := b.untilStop(func(s settings.Site) { k.follower.Add(s.Controls()) })
+	ctx, cancel := b.untilStop(func(s settings.Site) { k.follower.Load().Add(s.Controls()) })
 	defer cancel()
 	return k.stop(ctx)
 }
@@ -77,7 +80,7 @@
 	s := k.settings
 	k.system = process.Actors(k.log)
 	k.table = roster.New(roster.Config{})
-	k.hub = news.NewHub(news.HubConfig{Self: k.self, Table: k.table, Voters: k.voters, Log: k.log})
+	k.hub = news.NewHub(news.HubConfig{Self: func() *fleetpb.Peer { return k.self(news.RoleControl) }, Table: k.table, Voters: k.voters, Log: k.log})
 	var err error
 	k.links, err = link.Listen(link.ServerConfig{Address: s.Listen.Link, Local: k.local, Auth: k.auth, Handle: k.handle, Log: k.log})
 	if err != nil {
@@ -89,6 +92,7 @@
 		Document:        emptySections,
 		Peers:           seedAddresses(s),
 		Open:            true,
+		Found:           k.found,
 		Joins:           !s.Replica.First,
 		Voters:          2*s.Replica.Faults + 1,
 		Adopted:         k.hub.Adopt,
@@ -105,13 +109,13 @@
 	}
 	k.replica.Store(r)
 	close(k.started)
-	k.follower = news.NewFollower(news.FollowerConfig{
+	k.follower.Store(news.NewFollower(news.FollowerConfig{
 		Pool:  k.pool,
 		Seeds: s.Controls(),
-		Watch: func() *fleetpb.Watch { return &fleetpb.Watch{Self: k.self(), Version: noDocuments} },
+		Watch: func() *fleetpb.Watch { return &fleetpb.Watch{Self: k.self(news.RoleControl), Version: noDocuments} },
 		Take:  func(n *fleetpb.News) { k.hub.Merge(n) },
 		Log:   k.log,
-	})
+	}))
 	k.startGauges(k.gauge)
 	server := registry.New(registry.Config{Hub: k.hub, Replica: r, Pool: k.pool, Decode: platform.DecodeDocument, Log: k.log})
 	k.http = &http.Server{Handler: platform.RegistryMux(server), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
@@ -161,14 +165,24 @@
 	return out
 }
 
-func (k *keeper) self() *fleetpb.Peer {
+// self is the record of a process at a control address.
+func (b *base) self(role string) *fleetpb.Peer {
 	return &fleetpb.Peer{
-		Name:        k.settings.Listen.Link,
-		Role:        news.RoleControl,
-		Zone:        k.settings.Zone,
-		Link:        k.settings.Listen.Link,
-		Incarnation: k.incarnation,
+		Name:        b.settings.Listen.Link,
+		Role:        role,
+		Zone:        b.settings.Zone,
+		Link:        b.settings.Listen.Link,
+		Incarnation: b.incarnation,
+	}
+}
+
+// found returns the control instances that are followed now.
+func (k *keeper) found() []string {
+	f := k.follower.Load()
+	if f == nil {
+		return nil
 	}
+	return f.Controls()
 }
 
 // voters returns the instances that hold the log.
@@ -202,7 +216,7 @@
 	bounded, cancel := context.WithTimeout(ctx, handOver)
 	defer cancel()
 	r.HandOver(bounded)
-	err := errors.Join(k.http.Shutdown(ctx), k.follower.Close(), k.links.Close(), k.hub.Close(), r.Close())
+	err := errors.Join(k.http.Shutdown(ctx), k.follower.Load().Close(), k.links.Close(), k.hub.Close(), r.Close())
 	k.system.Shutdown()
 	k.close()
 	return err
--- /dev/null
+++ b/cmd/hawthornhub/relay.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"hawthornhub.example/hawthornhub/internal/fleet/link"
+	"hawthornhub.example/hawthornhub/internal/fleet/news"
+	"hawthornhub.example/hawthornhub/internal/front/relay"
+	"hawthornhub.example/hawthornhub/internal/operator/settings"
+	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
+	"hawthornhub.example/hawthornhub/platform"
+)
+
+// relaying is a running registry process without a disk.
+type relaying struct {
+	*base
+	follower *news.Follower
+	links    *link.Server
+	http     *http.Server
+}
+
+func runRelay(b *base) error {
+	r := &relaying{base: b}
+	if err := r.start(); err != nil {
+		return err
+	}
+	ctx, cancel := b.untilStop(func(s settings.Site) { r.follower.Add(s.Controls()) })
+	defer cancel()
+	return r.stop(ctx)
+}
+
+func (r *relaying) start() error {
+	s := r.settings
+	self := func() *fleetpb.Peer { return r.self(news.RoleRelay) }
+	r.follower = news.NewFollower(news.FollowerConfig{
+		Pool:  r.pool,
+		Seeds: s.Controls(),
+		Watch: func() *fleetpb.Watch { return &fleetpb.Watch{Self: self(), Version: noDocuments} },
+		Take:  func(*fleetpb.News) {},
+		Log:   r.log,
+	})
+	server := relay.New(relay.Config{Self: self, Controls: r.follower.Controls, Log: r.log})
+	var err error
+	r.links, err = link.Listen(link.ServerConfig{Address: s.Listen.Link, Local: r.local, Auth: r.auth, Handle: server.Serve, Log: r.log})
+	if err != nil {
+		return err
+	}
+	_, port, err := net.SplitHostPort(s.Listen.Registry)
+	if err != nil {
+		return err
+	}
+	r.startGauges(func(scope tally.Scope) {
+		scope.Gauge("control_connected").Update(float64(r.follower.Connected()))
+	})
+	r.log.Info("no disk here: calls are sent on to control instances", zap.String("address", s.Listen.Registry))
+	r.http = &http.Server{Handler: platform.RelayMux(port, server.Next), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+	return errors.Join(r.serveHealth(r.readiness), r.serveOn(s.Listen.Registry, r.http))
+}
+
+// readiness returns why calls cannot be sent on.
+func (r *relaying) readiness() error {
+	if r.follower.Connected() == 0 {
+		return errors.New("no control instance is connected")
+	}
+	return nil
+}
+
+func (r *relaying) stop(ctx context.Context) error {
+	err := errors.Join(r.http.Shutdown(ctx), r.follower.Close(), r.links.Close())
+	r.close()
+	return err
+}
--- a/internal/fleet/news/follower.go
+++ b/internal/fleet/news/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -15,10 +16,20 @@
 const (
 	RoleEntry   = "entry"
 	RoleControl = "control"
+	// RoleRelay is an instance at a control address that holds no state and
+	// only says where the control instances are.
+	RoleRelay = "relay"
 )
 
-// redial is the wait before a control instance is dialled again.
-const redial = 100 * time.Millisecond
+const (
+	// redial is the wait before a control instance is dialled again.
+	redial = 100 * time.Millisecond
+	// relayAgain is the wait before a relay is asked again.
+	relayAgain = 2 * time.Second
+)
+
+// errRelay ends the stream to a relay, which has nothing more to tell.
+var errRelay = errors.New("the instance is a relay")
 
 // FollowerConfig builds a Follower.
 type FollowerConfig struct {
@@ -112,16 +123,20 @@
 }
 
 // Connected returns the number of control instances that are followed now.
-func (f *Follower) Connected() int {
+func (f *Follower) Connected() int { return len(f.Controls()) }
+
+// Controls returns the link addresses of the control instances that are
+// followed now.
+func (f *Follower) Controls() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := 0
+	var out []string
 	for _, s := range f.sources {
 		if s.connected {
-			n++
+			out = append(out, s.address)
 		}
 	}
-	return n
+	return out
 }
 
 // Tell sends the own record to all control instances again.
@@ -146,9 +161,13 @@
 	for f.ctx.Err() == nil {
 		err := f.watch(f.ctx, s)
 		f.disconnected(s, err)
+		pause := redial
+		if errors.Is(err, errRelay) {
+			pause = relayAgain
+		}
 		select {
 		case <-f.ctx.Done():
-		case <-time.After(redial):
+		case <-time.After(pause):
 		}
 	}
 }
@@ -185,6 +204,10 @@
 		if n == nil {
 			continue
 		}
+		if relayed(s.address, n) {
+			f.Add(controls(n))
+			return errRelay
+		}
 		f.take(s, st, n)
 		if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_NewsSeen{NewsSeen: &fleetpb.NewsSeen{Seq: n.Seq}}}); err != nil {
 			return err
@@ -199,20 +222,35 @@
 	}
 	s.connected = true
 	s.stream = st
-	var controls []string
 	if n.WholePeers {
 		s.peers = n.Peers
-		for _, p := range n.Peers {
-			if p.Role == RoleControl {
-				controls = append(controls, p.Link)
-			}
-		}
 	}
 	f.mu.Unlock()
-	f.Add(controls)
+	f.Add(controls(n))
 	f.cfg.Take(n)
 }
 
+// controls returns the link addresses of the control instances in News.
+func controls(n *fleetpb.News) []string {
+	var out []string
+	for _, p := range n.Peers {
+		if p.Role == RoleControl {
+			out = append(out, p.Link)
+		}
+	}
+	return out
+}
+
+// relayed reports whether News come from a relay at address.
+func relayed(address string, n *fleetpb.News) bool {
+	for _, p := range n.Peers {
+		if p.Link == address && p.Role == RoleRelay {
+			return true
+		}
+	}
+	return false
+}
+
 // Close ends all streams and waits.
 func (f *Follower) Close() error {
 	f.cancel()
--- a/internal/fleet/news/hub.go
+++ b/internal/fleet/news/hub.go
@@ -144,6 +144,13 @@
 	if w.behind {
 		return
 	}
+	if w.peer.GetRole() == RoleRelay {
+		// A relay only tells where control instances are.
+		if !n.WholePeers {
+			return
+		}
+		n = &fleetpb.News{Peers: n.Peers, WholePeers: true}
+	}
 	w.seq++
 	if w.owing.IsZero() {
 		w.owing = time.Now()
--- a/internal/fleet/replica/peers.go
+++ b/internal/fleet/replica/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -144,25 +145,50 @@
 	return ok
 }
 
+// askPeers introduces this instance to the others, and forms the fleet where it
+// has the lowest name of the peers with a disk and none of them has a log.
 func (r *Replica) askPeers(v View) {
 	names := map[uint64]string{v.ID: r.cfg.Name}
 	lowest := r.cfg.Name
 	empty := v.LastIndex == 0
+	disks := len(r.cfg.Peers)
 	for _, p := range r.cfg.Peers {
-		lowest = min(lowest, p.Name)
 		if p.Name == r.cfg.Name {
 			continue
 		}
 		reply := r.askPeer(p.Link, v)
+		if reply != nil && reply.Identity == 0 && reply.Name == p.Name {
+			disks--
+			continue
+		}
+		lowest = min(lowest, p.Name)
 		if reply == nil || !reply.Empty || reply.Name != p.Name {
 			empty = false
 			continue
 		}
 		names[reply.Identity] = p.Name
 	}
-	if empty && !r.cfg.Joins && lowest == r.cfg.Name && len(names) == len(r.cfg.Peers) {
+	if empty && !r.cfg.Joins && lowest == r.cfg.Name && len(names) == disks {
 		r.tell(&formMsg{names: names})
+		return
+	}
+	for _, address := range r.found() {
+		r.askPeer(address, v)
+	}
+}
+
+// found returns the control instances that were found besides the peers.
+func (r *Replica) found() []string {
+	if r.cfg.Found == nil {
+		return nil
+	}
+	known := make(map[string]bool)
+	for _, p := range r.cfg.Peers {
+		known[p.Link] = true
 	}
+	return slices.DeleteFunc(r.cfg.Found(), func(address string) bool {
+		return known[address] || address == r.cfg.Name
+	})
 }
 
 func (r *Replica) askPeer(address string, v View) *fleetpb.HelloReply {
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -48,6 +48,9 @@
 	// Open lets instances join that Peers does not list. The names of all
 	// instances are then their link addresses.
 	Open bool
+	// Found returns the link addresses of control instances that were found
+	// besides Peers; nil finds none.
+	Found func() []string
 	// Joins keeps an instance with an empty folder from forming a fleet: it
 	// waits to be admitted to one.
 	Joins bool
--- a/internal/operator/settings/site.go
+++ b/internal/operator/settings/site.go
@@ -52,6 +52,9 @@
 type SiteStore struct {
 	// DataDir is the data folder.
 	DataDir string `toml:"data_dir"`
+	// Relay is set on an instance without a disk: it holds no state and sends
+	// calls on to those that do.
+	Relay bool `toml:"relay"`
 	// First is set when the whole fleet starts for the first time.
 	First bool `toml:"first"`
 	// Faults is the number of instances that may be lost at once.
@@ -112,8 +115,11 @@
 		}
 	case RoleRegistry:
 		out = append(out, addressFault("listen.registry", s.Listen.Registry)...)
-		if s.Replica.DataDir == "" {
-			add("replica.data_dir", "missing; name the data folder on the disk")
+		if s.Replica.DataDir == "" && !s.Replica.Relay {
+			add("replica.data_dir", "missing; name the data folder on the disk, or set replica.relay where there is no disk")
+		}
+		if s.Replica.DataDir != "" && s.Replica.Relay {
+			add("replica.relay", "an instance with a data folder is no relay; give one of both")
 		}
 	default:
 		add("role", "unknown role "+string(role))
--- a/internal/operator/settings/site_test.go
+++ b/internal/operator/settings/site_test.go
@@ -37,6 +37,12 @@
 			}
 		}
 	}
+	for text, want := range map[string]bool{"relay = true": false, "relay = true\ndata_dir = \"/d\"": true, "relay = false": true} {
+		_, faults := DecodeSite([]byte("[replica]\n"+text+"\n"), RoleRegistry)
+		if got := strings.Contains(strings.Join(faults, "\n"), "replica."); got != want {
+			t.Errorf("%q: a fault of the data folder is %t, want %t: %v", text, got, want, faults)
+		}
+	}
 	if _, faults := DecodeSite([]byte("nmae = \"x\"\n"), RoleGateway); len(faults) != 1 || !strings.Contains(faults[0], "line 1") {
 		t.Errorf("unknown field: got %v, want one fault that names line 1", faults)
 	}
