serve/gather, serve/pace, beside/pieces, gateway: the wait that decides is that of the request's rank

Owners now say what waits by rank. A request that is on time counts what goes before it; one that would be late goes behind all others and counts all of it.

TestBacklogIsByRank and the two new cases of TestDecide could not be written before.

--- a/internal/beside/pieces/order.go
+++ b/internal/beside/pieces/order.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hawthornhub.example/hawthornhub/internal/beside/direct"
+	"hawthornhub.example/hawthornhub/internal/serve/gather"
 )
 
 // Order asks for the pieces of one stage of one request.
@@ -39,16 +40,16 @@
 	Queued time.Duration
 	// Calls is the number of calls over which the pieces were spread.
 	Calls int
-	// Backlog is how long a new order would wait now.
-	Backlog time.Duration
+	// Backlog is what waits at the owner now.
+	Backlog gather.Backlog
 }
 
 // Refused says that the pieces cannot be made in time.
 type Refused struct {
 	// Retry is when there is expected to be room.
 	Retry time.Duration
-	// Backlog is how long a new order would wait now.
-	Backlog time.Duration
+	// Backlog is what waits at the owner now.
+	Backlog gather.Backlog
 }
 
 // Failed says that the pieces could not be made.
--- a/internal/beside/pieces/remote.go
+++ b/internal/beside/pieces/remote.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
+	"hawthornhub.example/hawthornhub/internal/serve/gather"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
 
@@ -63,11 +64,11 @@
 		m.Handles = r.Handles
 		m.QueuedMs = r.Queued.Milliseconds()
 		m.Calls = uint32(r.Calls)
-		m.BacklogMs = r.Backlog.Milliseconds()
+		m.BacklogsMs = milliseconds(r.Backlog)
 	case Refused:
 		m.Failure = failureRefused
 		m.RetryMs = r.Retry.Milliseconds()
-		m.BacklogMs = r.Backlog.Milliseconds()
+		m.BacklogsMs = milliseconds(r.Backlog)
 	case Failed:
 		m.Failure = failureOther + r.Err.Error()
 		if r.InputsGone {
@@ -78,7 +79,7 @@
 }
 
 func resultOf(m *fleetpb.PieceResult) Result {
-	backlog := time.Duration(m.BacklogMs) * time.Millisecond
+	backlog := backlogOf(m.BacklogsMs)
 	switch m.Failure {
 	case "":
 		return Made{Handles: m.Handles, Queued: time.Duration(m.QueuedMs) * time.Millisecond, Calls: int(m.Calls), Backlog: backlog}
@@ -91,6 +92,22 @@
 	}
 }
 
+func milliseconds(b gather.Backlog) []int64 {
+	out := make([]int64, len(b))
+	for i, d := range b {
+		out[i] = d.Milliseconds()
+	}
+	return out
+}
+
+func backlogOf(ms []int64) gather.Backlog {
+	out := make(gather.Backlog, len(ms))
+	for i, n := range ms {
+		out[i] = time.Duration(n) * time.Millisecond
+	}
+	return out
+}
+
 // Serve answers the orders of another process until its stream ends, which
 // withdraws those that have not ended.
 func (o *Owner) Serve(ctx context.Context, st *link.Stream, first *fleetpb.Envelope) {
--- a/internal/beside/pieces/router.go
+++ b/internal/beside/pieces/router.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
+	"hawthornhub.example/hawthornhub/internal/serve/gather"
 	"hawthornhub.example/hawthornhub/internal/serve/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
@@ -46,8 +47,8 @@
 
 // backlog is an owner's word of its queue.
 type backlog struct {
-	wait time.Duration
-	at   time.Time
+	waits gather.Backlog
+	at    time.Time
 }
 
 // backlogLife is how long an owner's word counts, falling linearly.
@@ -87,19 +88,21 @@
 	return result
 }
 
-func (r *Router) heard(service string, wait time.Duration) {
+func (r *Router) heard(service string, waits gather.Backlog) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.backlogs[service] = backlog{wait: wait, at: time.Now()}
+	r.backlogs[service] = backlog{waits: waits, at: time.Now()}
 }
 
-// Wait returns how long a new order for a service is expected to wait.
-func (r *Router) Wait(service string) time.Duration {
+// Wait returns how long a new order for a service is expected to wait: one of a
+// rank that is on time, and one that goes behind all others.
+func (r *Router) Wait(service string, rank int) (onTime, last time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.backlogs[service]
-	left := 1 - time.Since(b.at).Seconds()/backlogLife.Seconds()
-	return time.Duration(float64(b.wait) * max(0, left))
+	left := max(0, 1-time.Since(b.at).Seconds()/backlogLife.Seconds())
+	faded := func(wait time.Duration) time.Duration { return time.Duration(float64(wait) * left) }
+	return faded(b.waits.For(rank)), faded(b.waits.All())
 }
 
 func (r *Router) do(ctx context.Context, order Order) Result {
--- a/internal/front/gateway/pace.go
+++ b/internal/front/gateway/pace.go
@@ -23,10 +23,11 @@
 func (q *request) awaitTurn(ctx context.Context) *refusal {
 	held := false
 	for {
-		work, wait := q.path()
+		way := q.path()
 		r := pace.Request{
-			Work:      work,
-			Wait:      wait,
+			Work:      way.work,
+			Wait:      way.wait,
+			Last:      way.last,
 			Objective: time.Until(q.began.Add(q.route.Objective)),
 			Patience:  q.patience(),
 			Rank:      q.rank,
@@ -34,7 +35,7 @@
 		switch d := pace.Decide(r).(type) {
 		case pace.Begin:
 			if held {
-				q.server.cfg.Log.Info("request begins late", q.fields(zap.Duration("work", work), zap.Duration("wait", wait))...)
+				q.server.cfg.Log.Info("request begins late", q.fields(way.fields()...)...)
 			}
 			return nil
 		case pace.Refuse:
@@ -44,7 +45,7 @@
 				return q.stopped()
 			}
 			if !held {
-				q.server.cfg.Log.Info("request held back", q.fields(zap.Duration("work", work), zap.Duration("wait", wait))...)
+				q.server.cfg.Log.Info("request held back", q.fields(way.fields()...)...)
 			}
 			held = true
 			select {
@@ -57,29 +58,41 @@
 	}
 }
 
-// path returns the expected time of the longest way through the stages to the
-// first event, without waits, and the wait in the queues on it.
-func (q *request) path() (work, wait time.Duration) {
+// way is a way through the stages: the expected time of the work, and the waits
+// in the queues on it for a request on time and for one behind all others.
+type way struct{ work, wait, last time.Duration }
+
+func (w way) fields() []zap.Field {
+	return []zap.Field{zap.Duration("work", w.work), zap.Duration("wait", w.wait), zap.Duration("wait_last", w.last)}
+}
+
+func (w way) longerThan(other way) bool { return w.work+w.wait > other.work+other.wait }
+
+// path returns the longest way through the stages to the first event.
+func (q *request) path() way {
+	var longest way
 	for i := range q.route.Stages {
-		w, waits := q.way(i)
-		if w+waits > work+wait {
-			work, wait = w, waits
+		if w := q.way(i); w.longerThan(longest) {
+			longest = w
 		}
 	}
-	return work + firstEvent, wait
+	longest.work += firstEvent
+	return longest
 }
 
-// way returns the time of a stage and of the longest way to it.
-func (q *request) way(stage int) (work, wait time.Duration) {
+// way returns the longest way to the end of a stage.
+func (q *request) way(stage int) way {
+	var longest way
 	for _, a := range q.route.Stages[stage].After {
-		w, waits := q.way(a)
-		if w+waits > work+wait {
-			work, wait = w, waits
+		if w := q.way(a); w.longerThan(longest) {
+			longest = w
 		}
 	}
 	if usual := q.usual(stage); usual > 0 {
-		work += usual
-		wait += q.server.cfg.Wait(q.route.Stages[stage].Service)
+		wait, last := q.server.cfg.Wait(q.route.Stages[stage].Service, q.rank)
+		longest.work += usual
+		longest.wait += wait
+		longest.last += last
 	}
-	return work, wait
+	return longest
 }
--- a/internal/front/gateway/server.go
+++ b/internal/front/gateway/server.go
@@ -37,8 +37,9 @@
 	Upstreams func(service string) []roster.Upstream
 	// Stages makes the pieces of an order.
 	Stages func(ctx context.Context, o pieces.Order) pieces.Result
-	// Wait returns how long a new order for a service is expected to wait.
-	Wait func(service string) time.Duration
+	// Wait returns how long a new order for a service is expected to wait: one
+	// of a rank that is on time, and one that goes behind all others.
+	Wait func(service string, rank int) (onTime, last time.Duration)
 	// ZoneOf returns the availability zone in which a result lies, empty where
 	// that is not known.
 	ZoneOf func(handle string) string
--- a/internal/front/gateway/stages.go
+++ b/internal/front/gateway/stages.go
@@ -205,7 +205,8 @@
 	if usual == 0 {
 		return 0
 	}
-	return q.server.cfg.Wait(q.route.Stages[stage].Service) + usual
+	wait, _ := q.server.cfg.Wait(q.route.Stages[stage].Service, q.rank)
+	return wait + usual
 }
 
 // usual is the expected time of the calls of a stage, 0 where it has no pieces.
@@ -250,13 +251,16 @@
 func (r *stageRun) made(e stageEvent, result pieces.Made) {
 	s := &r.stages[e.stage]
 	s.handles, s.made, s.fetched = result.Handles, true, true
+	defer r.releaseUsed()
+	if len(result.Handles) == 0 {
+		return
+	}
 	r.server.cfg.Log.Info("stage made", r.fields(
 		zap.Int("stage", e.stage), zap.String("service", s.service), zap.Int("pieces", len(result.Handles)), zap.Duration("took", e.took),
-		zap.Duration("queued", result.Queued), zap.Int("calls", result.Calls), zap.Duration("backlog", result.Backlog))...)
+		zap.Duration("queued", result.Queued), zap.Int("calls", result.Calls), zap.Duration("backlog", result.Backlog.For(r.rank)), zap.Duration("backlog_all", result.Backlog.All()))...)
 	scope := r.server.cfg.Metrics.Tagged(map[string]string{"service": s.service})
 	scope.Timer("stage").Record(e.took)
 	scope.Timer("stage_queued").Record(result.Queued)
-	r.releaseUsed()
 }
 
 // remake marks stages to be made again, with all that they need, and reports
--- a/internal/front/gateway/stop_test.go
+++ b/internal/front/gateway/stop_test.go
@@ -68,7 +68,7 @@
 // drains: another one can take it.
 func TestDrainHoldsNothingBack(t *testing.T) {
 	f := newFixture(t, document(chain()...), newUpstream(t, ok).URL)
-	f.cfg.Wait = func(string) time.Duration { return 900 * time.Millisecond }
+	f.cfg.Wait = func(string, int) (time.Duration, time.Duration) { return 900 * time.Millisecond, 900 * time.Millisecond }
 	f.stages = made
 	done := make(chan int, 1)
 	go func() {
--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -57,12 +57,22 @@
 	return float64(upstreams*q.cfg.Batch) / q.Duration(q.cfg.Batch).Seconds()
 }
 
-// Backlog is how long the upstreams need for all that waits.
-func (q *Queue) Backlog(upstreams int) time.Duration {
+// Backlog is how long the upstreams need for what waits, by rank.
+func (q *Queue) Backlog(upstreams int) Backlog {
 	if upstreams == 0 {
-		return q.Duration(q.cfg.Batch)
+		return Backlog{q.Duration(q.cfg.Batch)}
 	}
-	return time.Duration(float64(q.waiting) / q.rate(upstreams) * float64(time.Second))
+	var pieces [ranks]int
+	for _, g := range q.groups {
+		pieces[rankIndex(g.Rank)] += len(g.todo)
+	}
+	out := make(Backlog, ranks)
+	ahead := 0
+	for r, n := range pieces {
+		ahead += n
+		out[r] = time.Duration(float64(ahead) / q.rate(upstreams) * float64(time.Second))
+	}
+	return out
 }
 
 // Admit reports whether the pieces of a group can be made before its deadline
--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -195,3 +195,23 @@
 		t.Errorf("later: got %s, want %s", got, want)
 	}
 }
+
+// More urgent groups do not wait for less urgent ones, and are not told so.
+func TestBacklogIsByRank(t *testing.T) {
+	q := NewQueue(cfg)
+	q.Push(group("a", 18, 0, time.Second))
+	q.Push(group("b", 36, 2, time.Second))
+	one := q.Duration(18)
+	b := q.Backlog(1)
+	for rank, want := range []time.Duration{one, one, 3 * one, 3 * one, 3 * one} {
+		if got := b.For(rank).Round(time.Millisecond); got != want {
+			t.Errorf("rank %d waits %v, want %v", rank, got, want)
+		}
+	}
+	if got, want := b.All().Round(time.Millisecond), 3*one; got != want {
+		t.Errorf("the last one waits %v, want %v", got, want)
+	}
+	if got := (Backlog)(nil).For(1); got != 0 {
+		t.Errorf("an empty queue has a wait of %v", got)
+	}
+}
--- a/internal/serve/pace/pace.go
+++ b/internal/serve/pace/pace.go
@@ -19,8 +19,9 @@
 	// Work is the expected time of its stages and the upstream without any
 	// wait, on the longest way through them.
 	Work time.Duration
-	// Wait is the expected wait in the queues on that way.
-	Wait time.Duration
+	// Wait is the expected wait in the queues on that way while the request is
+	// on time, Last the wait behind all others, as late ones have it.
+	Wait, Last time.Duration
 	// Objective is the time until the answer is late, negative where it is.
 	Objective time.Duration
 	// Patience is the time until the caller gives up.
@@ -48,11 +49,11 @@
 // Decide decides about a request.
 func Decide(r Request) Decision {
 	need := time.Duration(float64(r.Work+r.Wait) * (margin + marginRank*float64(max(0, r.Rank))))
-	if need <= r.Objective || r.Wait <= calm && r.Work+r.Wait <= r.Patience {
+	if need <= r.Objective || r.Last <= calm && r.Work+r.Last <= r.Patience {
 		return Begin{}
 	}
-	if r.Work+r.Wait > r.Patience {
-		return Refuse{Retry: r.Wait}
+	if r.Work+r.Last > r.Patience {
+		return Refuse{Retry: r.Last}
 	}
 	return Hold{For: holdFor}
 }
--- a/internal/serve/pace/pace_test.go
+++ b/internal/serve/pace/pace_test.go
@@ -15,11 +15,13 @@
 		want Decision
 	}{
 		{"quiet", Request{Work: ms(1000), Objective: ms(2000), Patience: ms(8000)}, Begin{}},
-		{"on time behind a queue", Request{Work: ms(1000), Wait: ms(800), Objective: ms(2000), Patience: ms(8000)}, Begin{}},
-		{"the same, less urgent", Request{Work: ms(1000), Wait: ms(800), Objective: ms(2000), Patience: ms(8000), Rank: 2}, Hold{For: holdFor}},
-		{"late behind a queue", Request{Work: ms(1000), Wait: ms(1500), Objective: ms(2000), Patience: ms(8000)}, Hold{For: holdFor}},
-		{"late when it is calm", Request{Work: ms(1000), Wait: ms(100), Objective: ms(-500), Patience: ms(4000)}, Begin{}},
-		{"after the caller has given up", Request{Work: ms(1000), Wait: ms(1500), Objective: ms(-500), Patience: ms(2000)}, Refuse{Retry: ms(1500)}},
+		{"on time behind a queue", Request{Work: ms(1000), Wait: ms(800), Last: ms(800), Objective: ms(2000), Patience: ms(8000)}, Begin{}},
+		{"the same, less urgent", Request{Work: ms(1000), Wait: ms(800), Last: ms(800), Objective: ms(2000), Patience: ms(8000), Rank: 2}, Hold{For: holdFor}},
+		{"late behind a queue", Request{Work: ms(1000), Wait: ms(1500), Last: ms(1500), Objective: ms(2000), Patience: ms(8000)}, Hold{For: holdFor}},
+		{"on time before less urgent ones", Request{Work: ms(1000), Wait: ms(100), Last: ms(1500), Objective: ms(2000), Patience: ms(8000)}, Begin{}},
+		{"late behind less urgent ones", Request{Work: ms(1000), Wait: ms(100), Last: ms(1500), Objective: ms(-500), Patience: ms(8000)}, Hold{For: holdFor}},
+		{"late when it is calm", Request{Work: ms(1000), Wait: ms(100), Last: ms(100), Objective: ms(-500), Patience: ms(4000)}, Begin{}},
+		{"after the caller has given up", Request{Work: ms(1000), Wait: ms(1500), Last: ms(1500), Objective: ms(-500), Patience: ms(2000)}, Refuse{Retry: ms(1500)}},
 		{"no time left at all", Request{Work: ms(1000), Objective: ms(-500), Patience: ms(500)}, Refuse{}},
 	}
 	for _, tt := range tests {
@@ -75,6 +77,7 @@
 			d := Decide(Request{
 				Work:      time.Duration(stages * stageWork * float64(time.Second)),
 				Wait:      time.Duration(waits * float64(time.Second)),
+				Last:      time.Duration(waits * float64(time.Second)),
 				Objective: time.Duration((j.arrived + objective - now) * float64(time.Second)),
 				Patience:  time.Duration((j.arrived + patience - now) * float64(time.Second)),
 			})
