state/site, gateway, gather: rank by the account's priority, then by the route's

It is now the first part of the rank, and the route's decides among equals; an account without a priority has the route's in both parts.

Ruled out before: an owner that was lost, missing upstreams (none in the seconds looked at).

--- a/internal/beside/pieces/order.go
+++ b/internal/beside/pieces/order.go
@@ -5,6 +5,7 @@
 
 	"hawthornhub.example/hawthornhub/internal/beside/direct"
 	"hawthornhub.example/hawthornhub/internal/serve/gather"
+	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
 // Order asks for the pieces of one stage of one request.
@@ -21,7 +22,7 @@
 	Left, Objective time.Duration
 	// Rest is the expected time of what follows the stage.
 	Rest time.Duration
-	Rank int
+	Rank site.Rank
 	Zone string
 	// ResultBytes is the size of the result of a piece.
 	ResultBytes int64
--- a/internal/beside/pieces/remote.go
+++ b/internal/beside/pieces/remote.go
@@ -10,6 +10,7 @@
 
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/serve/gather"
+	"hawthornhub.example/hawthornhub/internal/state/site"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
 
@@ -50,7 +51,7 @@
 		Left:      time.Duration(m.LeftMs) * time.Millisecond,
 		Objective: time.Duration(m.AimMs) * time.Millisecond,
 		Rest:      time.Duration(m.RestMs) * time.Millisecond,
-		Rank:      int(m.Rank),
+		Rank:      site.Rank(m.Rank),
 		Zone:      m.Zone,
 
 		ResultBytes: m.ResultBytes,
@@ -64,11 +65,11 @@
 		m.Handles = r.Handles
 		m.QueuedMs = r.Queued.Milliseconds()
 		m.Calls = uint32(r.Calls)
-		m.BacklogsMs = milliseconds(r.Backlog)
+		m.Backlog = backlogMessage(r.Backlog)
 	case Refused:
 		m.Failure = failureRefused
 		m.RetryMs = r.Retry.Milliseconds()
-		m.BacklogsMs = milliseconds(r.Backlog)
+		m.Backlog = backlogMessage(r.Backlog)
 	case Failed:
 		m.Failure = failureOther + r.Err.Error()
 		if r.InputsGone {
@@ -79,7 +80,7 @@
 }
 
 func resultOf(m *fleetpb.PieceResult) Result {
-	backlog := backlogOf(m.BacklogsMs)
+	backlog := backlogOf(m.Backlog)
 	switch m.Failure {
 	case "":
 		return Made{Handles: m.Handles, Queued: time.Duration(m.QueuedMs) * time.Millisecond, Calls: int(m.Calls), Backlog: backlog}
@@ -92,18 +93,18 @@
 	}
 }
 
-func milliseconds(b gather.Backlog) []int64 {
-	out := make([]int64, len(b))
-	for i, d := range b {
-		out[i] = d.Milliseconds()
+func backlogMessage(b gather.Backlog) []*fleetpb.RankWait {
+	out := make([]*fleetpb.RankWait, len(b))
+	for i, w := range b {
+		out[i] = &fleetpb.RankWait{Rank: int32(w.Rank), WaitMs: w.Wait.Milliseconds()}
 	}
 	return out
 }
 
-func backlogOf(ms []int64) gather.Backlog {
+func backlogOf(ms []*fleetpb.RankWait) gather.Backlog {
 	out := make(gather.Backlog, len(ms))
-	for i, n := range ms {
-		out[i] = time.Duration(n) * time.Millisecond
+	for i, m := range ms {
+		out[i] = gather.RankWait{Rank: site.Rank(m.Rank), Wait: time.Duration(m.WaitMs) * time.Millisecond}
 	}
 	return out
 }
--- a/internal/beside/pieces/router.go
+++ b/internal/beside/pieces/router.go
@@ -11,6 +11,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/serve/gather"
 	"hawthornhub.example/hawthornhub/internal/serve/rendezvous"
+	"hawthornhub.example/hawthornhub/internal/state/site"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
 
@@ -96,7 +97,7 @@
 
 // Wait returns how long a new order for a service is expected to wait: one of a
 // rank that is on time, and one that goes behind all others.
-func (r *Router) Wait(service string, rank int) (onTime, last time.Duration) {
+func (r *Router) Wait(service string, rank site.Rank) (onTime, last time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.backlogs[service]
--- a/internal/front/gateway/gateway_test.go
+++ b/internal/front/gateway/gateway_test.go
@@ -169,7 +169,7 @@
 			f.orders = append(f.orders, o)
 			return f.stages(o)
 		},
-		Wait:   func(string, int) (time.Duration, time.Duration) { return 0, 0 },
+		Wait:   func(string, site.Rank) (time.Duration, time.Duration) { return 0, 0 },
 		ZoneOf: func(string) string { return "z" },
 		Release: func(_ string, handles []string) {
 			f.mu.Lock()
--- a/internal/front/gateway/pace.go
+++ b/internal/front/gateway/pace.go
@@ -30,12 +30,12 @@
 			Last:      way.last,
 			Objective: time.Until(q.began.Add(q.route.Objective)),
 			Patience:  q.patience(),
-			Rank:      q.rank,
+			Rank:      q.rank.Route(),
 		}
 		switch d := pace.Decide(r).(type) {
 		case pace.Begin:
 			if held {
-				q.server.cfg.Log.Info("request begins late", q.fields(way.fields()...)...)
+				q.server.cfg.Log.Info("request begins late", q.fields(append(way.fields(), zap.Int("rank", int(q.rank)))...)...)
 			}
 			return nil
 		case pace.Refuse:
@@ -45,7 +45,7 @@
 				return q.stopped()
 			}
 			if !held {
-				q.server.cfg.Log.Info("request held back", q.fields(way.fields()...)...)
+				q.server.cfg.Log.Info("request held back", q.fields(append(way.fields(), zap.Int("rank", int(q.rank)))...)...)
 			}
 			held = true
 			select {
--- a/internal/front/gateway/request.go
+++ b/internal/front/gateway/request.go
@@ -31,7 +31,7 @@
 	index    *site.Index
 	route    *site.Route
 	account  string
-	rank     int
+	rank     site.Rank
 
 	service *site.Service
 	stages  []stageState
@@ -292,7 +292,7 @@
 			Upstream: u.ID,
 			Account:  q.account,
 			Inputs:   q.inputs(),
-			Priority: q.rank,
+			Rank:     q.rank,
 			Engine:   q.service.Engine != nil,
 			After:    q.after,
 		}),
--- a/internal/front/gateway/server.go
+++ b/internal/front/gateway/server.go
@@ -39,7 +39,7 @@
 	Stages func(ctx context.Context, o pieces.Order) pieces.Result
 	// Wait returns how long a new order for a service is expected to wait: one
 	// of a rank that is on time, and one that goes behind all others.
-	Wait func(service string, rank int) (onTime, last time.Duration)
+	Wait func(service string, rank site.Rank) (onTime, last time.Duration)
 	// ZoneOf returns the availability zone in which a result lies, empty where
 	// that is not known.
 	ZoneOf func(handle string) string
@@ -179,16 +179,14 @@
 	if !ok {
 		return q, &refusal{status: http.StatusNotFound, reason: "no route for the host and path; check both"}
 	}
-	q.index, q.route, q.rank = x, route, route.Priority
+	q.index, q.route, q.rank = x, route, site.RankOf(nil, route.Priority)
 	if !route.Anonymous && x.Guarded() {
 		account, ok := x.Account(attributes.Key)
 		if !ok {
 			return q, &refusal{status: http.StatusUnauthorized, reason: "the key is not known; send an account's key"}
 		}
 		q.account = account.Name
-		if account.Priority != nil {
-			q.rank = *account.Priority
-		}
+		q.rank = site.RankOf(account.Priority, route.Priority)
 	}
 	q.deadline = q.began.Add(route.Timeout)
 	if attributes.Left > 0 && attributes.Left < route.Timeout {
--- a/internal/front/gateway/stop_test.go
+++ b/internal/front/gateway/stop_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hawthornhub.example/hawthornhub/internal/beside/pieces"
+	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
 func TestDrainClosesConnections(t *testing.T) {
@@ -68,7 +69,9 @@
 // drains: another one can take it.
 func TestDrainHoldsNothingBack(t *testing.T) {
 	f := newFixture(t, document(chain()...), newUpstream(t, ok).URL)
-	f.cfg.Wait = func(string, int) (time.Duration, time.Duration) { return 900 * time.Millisecond, 900 * time.Millisecond }
+	f.cfg.Wait = func(string, site.Rank) (time.Duration, time.Duration) {
+		return 900 * time.Millisecond, 900 * time.Millisecond
+	}
 	f.stages = made
 	done := make(chan int, 1)
 	go func() {
--- a/internal/front/gateway/wire.go
+++ b/internal/front/gateway/wire.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
 // Part is a piece of a prompt that other requests may share.
@@ -37,8 +39,8 @@
 	Account string
 	// Inputs are the results of the last stages.
 	Inputs []string
-	// Priority is the rank, 0 first.
-	Priority int
+	// Rank orders the request among others.
+	Rank site.Rank
 	// Engine is set where a model engine takes the request.
 	Engine bool
 	// After is the id of the last event that the caller has, empty to leave
--- a/internal/serve/gather/group.go
+++ b/internal/serve/gather/group.go
@@ -1,6 +1,10 @@
 package gather
 
-import "time"
+import (
+	"time"
+
+	"hawthornhub.example/hawthornhub/internal/state/site"
+)
 
 // Group is the pieces of one stage of one request.
 type Group struct {
@@ -16,8 +20,7 @@
 	Deadline, Objective time.Time
 	// Rest is the expected time of what follows the stage.
 	Rest time.Duration
-	// Rank is the priority, 0 first.
-	Rank int
+	Rank site.Rank
 	Zone string
 	// ResultBytes is the size of the result of a piece.
 	ResultBytes int64
--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -60,17 +61,18 @@
 // Backlog is how long the upstreams need for what waits, by rank.
 func (q *Queue) Backlog(upstreams int) Backlog {
 	if upstreams == 0 {
-		return Backlog{q.Duration(q.cfg.Batch)}
+		return Backlog{{Wait: q.Duration(q.cfg.Batch)}}
 	}
-	var pieces [ranks]int
+	pieces := make(map[site.Rank]int)
 	for _, g := range q.groups {
-		pieces[rankIndex(g.Rank)] += len(g.todo)
+		pieces[g.Rank] += len(g.todo)
 	}
-	out := make(Backlog, ranks)
+	var out Backlog
 	ahead := 0
-	for r, n := range pieces {
-		ahead += n
-		out[r] = time.Duration(float64(ahead) / q.rate(upstreams) * float64(time.Second))
+	for _, rank := range slices.Sorted(maps.Keys(pieces)) {
+		ahead += pieces[rank]
+		wait := time.Duration(float64(ahead) / q.rate(upstreams) * float64(time.Second))
+		out = append(out, RankWait{Rank: rank, Wait: wait})
 	}
 	return out
 }
--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
 var (
@@ -14,7 +16,7 @@
 
 const plenty = 1 << 40
 
-func group(request string, n, rank int, objective time.Duration) *Group {
+func group(request string, n int, rank site.Rank, objective time.Duration) *Group {
 	return NewGroup(Group{Request: request, Arrived: t0, Deadline: t0.Add(15 * time.Second), Objective: t0.Add(objective), Rank: rank}, n)
 }
 
@@ -204,7 +206,7 @@
 	one := q.Duration(18)
 	b := q.Backlog(1)
 	for rank, want := range []time.Duration{one, one, 3 * one, 3 * one, 3 * one} {
-		if got := b.For(rank).Round(time.Millisecond); got != want {
+		if got := b.For(site.Rank(rank)).Round(time.Millisecond); got != want {
 			t.Errorf("rank %d waits %v, want %v", rank, got, want)
 		}
 	}
--- a/internal/serve/pace/pace.go
+++ b/internal/serve/pace/pace.go
@@ -26,7 +26,7 @@
 	Objective time.Duration
 	// Patience is the time until the caller gives up.
 	Patience time.Duration
-	// Rank is the priority, 0 first.
+	// Rank is the priority among requests that queue together, 0 first.
 	Rank int
 }
 
