beside/pieces, serve/gather: slow upstreams get what can wait, and the time that they need

An upstream's pace now stretches the bound of a call, a call that was given up counts as that slow at least, capacity is counted by pace, and pieces that only a faster upstream makes on time wait for one. The pace fades, so that the upstream is tried again.

--- a/internal/beside/pieces/call.go
+++ b/internal/beside/pieces/call.go
@@ -36,15 +36,20 @@
 
 func (p *pool) call(u roster.Upstream, batch []gather.Piece) {
 	defer p.owner.wg.Done()
+	began := time.Now()
 	p.mu.Lock()
 	expected := p.queue.Duration(len(batch))
+	usual := max(1, p.state(u.ID).pace.factor(began))
 	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(p.owner.ctx, patience*expected+patienceLeast)
+	bound := time.Duration(patience*usual*float64(expected)) + patienceLeast
+	ctx, cancel := context.WithTimeout(p.owner.ctx, bound)
 	defer cancel()
-	began := time.Now()
 	outputs, err := p.exchange(ctx, u, batch)
 	took := time.Since(began)
 	p.mu.Lock()
+	if ctx.Err() != nil {
+		p.state(u.ID).pace.exceeded(time.Now(), float64(took)/float64(expected))
+	}
 	released := p.finish(u, batch, outputs, err, float64(took)/float64(expected))
 	p.mu.Unlock()
 	p.owner.release(p.service, released)
@@ -129,7 +134,7 @@
 	if failed != nil {
 		p.failed(now, u, s, batch, failed)
 	} else {
-		s.pace += paceShare * (pace - s.pace)
+		s.pace.took(now, pace)
 		unused = p.outputs(now, s, batch, outputs)
 	}
 	p.pump(now)
@@ -178,7 +183,7 @@
 		case w == nil:
 		case out.Reason == None:
 			if p.queue.Done(piece, out.Handle) {
-				p.end(piece.Group, Made{Handles: piece.Group.Handles(), Queued: w.last.Sub(w.began), Calls: piece.Group.Calls(), Backlog: p.queue.Backlog(len(p.usable(now)))})
+				p.end(piece.Group, Made{Handles: piece.Group.Handles(), Queued: w.last.Sub(w.began), Calls: piece.Group.Calls(), Backlog: p.queue.Backlog(p.capacity(now))})
 			}
 		default:
 			unused = append(unused, p.unmade(now, s, piece, w, out.Reason)...)
--- a/internal/beside/pieces/owner.go
+++ b/internal/beside/pieces/owner.go
@@ -26,8 +26,6 @@
 	// up, and patienceLeast is added to it.
 	patience      = 3
 	patienceLeast = 600 * time.Millisecond
-	// paceShare is the weight of a new observation in an upstream's pace.
-	paceShare = 0.3
 )
 
 // Config builds an Owner.
@@ -82,8 +80,7 @@
 	busy    int
 	room    room
 	restTil time.Time
-	// pace is how many times its expected time a call takes.
-	pace float64
+	pace    pace
 	// seen are the results of late calls.
 	seen recent
 }
@@ -169,12 +166,12 @@
 func (p *pool) push(now time.Time, g *gather.Group, dispatched func()) (*waiter, *Refused) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	usable := p.usable(now)
-	if retry, ok := p.queue.Admit(now, g, len(usable)); !ok {
+	capacity := p.capacity(now)
+	if retry, ok := p.queue.Admit(now, g, capacity); !ok {
 		p.owner.cfg.Log.Info("pieces refused",
 			zap.String("request", g.Request), zap.String("service", p.service), zap.Int("stage", g.Stage),
-			zap.Int("waiting", p.queue.Waiting()), zap.Int("upstreams", len(usable)), zap.Duration("retry", retry))
-		return nil, &Refused{Retry: retry, Backlog: p.queue.Backlog(len(usable))}
+			zap.Int("waiting", p.queue.Waiting()), zap.Float64("upstreams", capacity), zap.Duration("retry", retry))
+		return nil, &Refused{Retry: retry, Backlog: p.queue.Backlog(capacity)}
 	}
 	w := &waiter{done: make(chan Result, 1), began: now, last: now, dispatched: dispatched}
 	p.waiters[g] = w
@@ -208,10 +205,20 @@
 	return out
 }
 
+// capacity returns the work of the usable upstreams in upstreams of the usual
+// pace.
+func (p *pool) capacity(now time.Time) float64 {
+	sum := 0.0
+	for _, u := range p.usable(now) {
+		sum += 1 / p.state(u.ID).pace.factor(now)
+	}
+	return sum
+}
+
 func (p *pool) state(id string) *upstreamState {
 	s := p.states[id]
 	if s == nil {
-		s = &upstreamState{pace: 1}
+		s = &upstreamState{}
 		p.states[id] = s
 	}
 	return s
@@ -231,10 +238,16 @@
 	}
 	rand.Shuffle(len(idle), func(i, j int) { idle[i], idle[j] = idle[j], idle[i] })
 	slices.SortStableFunc(idle, func(a, b roster.Upstream) int {
-		return int(8*p.state(a.ID).pace) - int(8*p.state(b.ID).pace)
+		return int(8*p.state(a.ID).pace.factor(now)) - int(8*p.state(b.ID).pace.factor(now))
 	})
 	for i, u := range idle {
-		batch := p.queue.Batch(now, gather.Upstream{Idle: len(idle) - i, Room: p.state(u.ID).room.left(now, p.roomBytes), Zone: u.Zone})
+		s := p.state(u.ID)
+		batch := p.queue.Batch(now, gather.Upstream{
+			Idle: len(idle) - i,
+			Room: s.room.left(now, p.roomBytes),
+			Zone: u.Zone,
+			Pace: s.pace.factor(now),
+		})
 		if len(batch) == 0 {
 			continue
 		}
--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -53,13 +53,14 @@
 // Duration returns the expected time of a call with n pieces.
 func (q *Queue) Duration(n int) time.Duration { return q.cfg.Duration(n) }
 
-// rate returns the pieces a second of upstreams with full batches.
-func (q *Queue) rate(upstreams int) float64 {
-	return float64(upstreams*q.cfg.Batch) / q.Duration(q.cfg.Batch).Seconds()
+// rate returns the pieces a second of upstreams with full batches. A slow
+// upstream counts as the part of a usual one that it is.
+func (q *Queue) rate(upstreams float64) float64 {
+	return upstreams * float64(q.cfg.Batch) / q.Duration(q.cfg.Batch).Seconds()
 }
 
 // Backlog is how long the upstreams need for what waits, by rank.
-func (q *Queue) Backlog(upstreams int) Backlog {
+func (q *Queue) Backlog(upstreams float64) Backlog {
 	if upstreams == 0 {
 		return Backlog{{Wait: q.Duration(q.cfg.Batch)}}
 	}
@@ -79,7 +80,7 @@
 
 // Admit reports whether the pieces of a group can be made before its deadline
 // behind those that go before it, and otherwise when there will be room.
-func (q *Queue) Admit(now time.Time, g *Group, upstreams int) (time.Duration, bool) {
+func (q *Queue) Admit(now time.Time, g *Group, upstreams float64) (time.Duration, bool) {
 	if upstreams == 0 {
 		return q.Duration(q.cfg.Batch), false
 	}
@@ -114,8 +115,15 @@
 	// Zone is its availability zone. Pieces of another wait a little for an
 	// upstream of theirs.
 	Zone string
+	// Pace is how many times its expected time a call takes there; 0 counts as
+	// 1. Pieces that only a faster upstream makes on time wait for one.
+	Pace float64
 }
 
+// slowFrom is the pace from which an upstream is kept from pieces that it would
+// make late.
+const slowFrom = 1.5
+
 // foreignWait is how long pieces wait for an upstream of their own zone.
 const foreignWait = 60 * time.Millisecond
 
@@ -127,6 +135,8 @@
 	q.sort(now)
 	idle, room := to.Idle, to.Room
 	n := min(q.cfg.Batch, max(q.leastBatch(), (q.waiting+idle-1)/max(1, idle)))
+	extra := time.Duration((to.Pace - 1) * float64(q.Duration(n)))
+	usual := q.cfg.Usual()
 	var out []Piece
 	kept := q.groups[:0]
 	for _, g := range q.groups {
@@ -134,6 +144,9 @@
 		if g.foreign(to.Zone) && now.Sub(g.Arrived) < foreignWait {
 			took = 0
 		}
+		if to.Pace >= slowFrom && !g.late(now, usual) && g.late(now, usual+extra) {
+			took = 0
+		}
 		room -= int64(took) * g.ResultBytes
 		for _, i := range g.todo[:took] {
 			out = append(out, Piece{Group: g, Index: i})
--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -217,3 +217,19 @@
 		t.Errorf("an empty queue has a wait of %v", got)
 	}
 }
+
+// A slow upstream gets what it cannot make late: pieces with time to spare, and
+// those that are late anyway.
+func TestSlowUpstreamGetsWhatCanWait(t *testing.T) {
+	q := NewQueue(cfg)
+	usual := q.cfg.Usual()
+	q.Push(group("tight", 1, 0, usual+100*time.Millisecond))
+	q.Push(group("free", 1, 0, 10*time.Second))
+	q.Push(group("late", 1, 0, 0))
+	if got, want := requests(q.Batch(t0, Upstream{Idle: 1, Room: plenty, Pace: 4})), "freelate"; got != want {
+		t.Errorf("slow: got %s, want %s", got, want)
+	}
+	if got, want := requests(q.Batch(t0, Upstream{Idle: 1, Room: plenty, Pace: 1.2})), "tight"; got != want {
+		t.Errorf("usual: got %s, want %s", got, want)
+	}
+}
