serve/gather: a request on time does not count late groups in its wait

Cause: late groups go behind those on time in the queue, and still counted in the wait by which new requests were held back; after a crest one flood of late requests made the next ones late.

TestBacklogIsByRank has the late group.

--- a/internal/beside/pieces/call.go
+++ b/internal/beside/pieces/call.go
@@ -183,7 +183,7 @@
 		case w == nil:
 		case out.Reason == None:
 			if p.queue.Done(piece, out.Handle) {
-				p.end(piece.Group, Made{Handles: piece.Group.Handles(), Queued: w.last.Sub(w.began), Calls: piece.Group.Calls(), Backlog: p.queue.Backlog(p.capacity(now))})
+				p.end(piece.Group, Made{Handles: piece.Group.Handles(), Queued: w.last.Sub(w.began), Calls: piece.Group.Calls(), Backlog: p.queue.Backlog(now, p.capacity(now))})
 			}
 		default:
 			unused = append(unused, p.unmade(now, s, piece, w, out.Reason)...)
--- a/internal/beside/pieces/owner.go
+++ b/internal/beside/pieces/owner.go
@@ -171,7 +171,7 @@
 		p.owner.cfg.Log.Info("pieces refused",
 			zap.String("request", g.Request), zap.String("service", p.service), zap.Int("stage", g.Stage),
 			zap.Int("waiting", p.queue.Waiting()), zap.Float64("upstreams", capacity), zap.Duration("retry", retry))
-		return nil, &Refused{Retry: retry, Backlog: p.queue.Backlog(capacity)}
+		return nil, &Refused{Retry: retry, Backlog: p.queue.Backlog(now, capacity)}
 	}
 	w := &waiter{done: make(chan Result, 1), began: now, last: now, dispatched: dispatched}
 	p.waiters[g] = w
--- a/internal/beside/pieces/remote.go
+++ b/internal/beside/pieces/remote.go
@@ -93,20 +93,20 @@
 	}
 }
 
-func backlogMessage(b gather.Backlog) []*fleetpb.RankWait {
-	out := make([]*fleetpb.RankWait, len(b))
-	for i, w := range b {
-		out[i] = &fleetpb.RankWait{Rank: int32(w.Rank), WaitMs: w.Wait.Milliseconds()}
+func backlogMessage(b gather.Backlog) *fleetpb.Backlog {
+	m := &fleetpb.Backlog{LastMs: b.Last.Milliseconds()}
+	for _, w := range b.Ranks {
+		m.Ranks = append(m.Ranks, &fleetpb.RankWait{Rank: int32(w.Rank), WaitMs: w.Wait.Milliseconds()})
 	}
-	return out
+	return m
 }
 
-func backlogOf(ms []*fleetpb.RankWait) gather.Backlog {
-	out := make(gather.Backlog, len(ms))
-	for i, m := range ms {
-		out[i] = gather.RankWait{Rank: site.Rank(m.Rank), Wait: time.Duration(m.WaitMs) * time.Millisecond}
+func backlogOf(m *fleetpb.Backlog) gather.Backlog {
+	b := gather.Backlog{Last: time.Duration(m.GetLastMs()) * time.Millisecond}
+	for _, w := range m.GetRanks() {
+		b.Ranks = append(b.Ranks, gather.RankWait{Rank: site.Rank(w.Rank), Wait: time.Duration(w.WaitMs) * time.Millisecond})
 	}
-	return out
+	return b
 }
 
 // Serve answers the orders of another process until its stream ends, which
--- a/internal/front/gateway/stages.go
+++ b/internal/front/gateway/stages.go
@@ -257,7 +257,7 @@
 	}
 	r.server.cfg.Log.Info("stage made", r.fields(
 		zap.Int("stage", e.stage), zap.String("service", s.service), zap.Int("pieces", len(result.Handles)), zap.Duration("took", e.took),
-		zap.Duration("queued", result.Queued), zap.Int("calls", result.Calls), zap.Duration("backlog", result.Backlog.For(r.rank)), zap.Duration("backlog_all", result.Backlog.All()))...)
+		zap.Duration("queued", result.Queued), zap.Int("calls", result.Calls), zap.Duration("backlog", result.Backlog.For(r.rank)), zap.Duration("backlog_last", result.Backlog.Last))...)
 	scope := r.server.cfg.Metrics.Tagged(map[string]string{"service": s.service})
 	scope.Timer("stage").Record(e.took)
 	scope.Timer("stage_queued").Record(result.Queued)
--- a/internal/serve/gather/backlog.go
+++ b/internal/serve/gather/backlog.go
@@ -6,11 +6,15 @@
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
-// Backlog is how long the upstreams of a service need for the pieces that wait,
-// at each rank that waits for these and all more urgent ones, in the order of
-// the ranks. The last entry is for all of them. An empty Backlog means that
-// nothing waits.
-type Backlog []RankWait
+// Backlog is how long the upstreams of a service need for the pieces that wait.
+// The zero value means that nothing waits.
+type Backlog struct {
+	// Ranks is the wait at each rank that waits on time, for its pieces and
+	// those of all more urgent ranks, in the order of the ranks.
+	Ranks []RankWait
+	// Last is the wait of a group that goes behind all others.
+	Last time.Duration
+}
 
 // RankWait is the wait at one rank.
 type RankWait struct {
@@ -21,7 +25,7 @@
 // For returns the wait of a new group of a rank that is on time.
 func (b Backlog) For(rank site.Rank) time.Duration {
 	wait := time.Duration(0)
-	for _, w := range b {
+	for _, w := range b.Ranks {
 		if w.Rank > rank {
 			break
 		}
@@ -29,11 +33,3 @@
 	}
 	return wait
 }
-
-// All returns the wait of a group that goes behind all others.
-func (b Backlog) All() time.Duration {
-	if len(b) == 0 {
-		return 0
-	}
-	return b[len(b)-1].Wait
-}
--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -59,21 +59,26 @@
 	return upstreams * float64(q.cfg.Batch) / q.Duration(q.cfg.Batch).Seconds()
 }
 
-// Backlog is how long the upstreams need for what waits, by rank.
-func (q *Queue) Backlog(upstreams float64) Backlog {
+// Backlog is how long the upstreams need for what waits: at each rank for the
+// groups that are on time, last of all for every group.
+func (q *Queue) Backlog(now time.Time, upstreams float64) Backlog {
 	if upstreams == 0 {
-		return Backlog{{Wait: q.Duration(q.cfg.Batch)}}
+		return Backlog{Last: q.Duration(q.cfg.Batch)}
 	}
 	pieces := make(map[site.Rank]int)
 	for _, g := range q.groups {
-		pieces[g.Rank] += len(g.todo)
+		if !g.late(now, q.cfg.Usual()) {
+			pieces[g.Rank] += len(g.todo)
+		}
+	}
+	wait := func(n int) time.Duration {
+		return time.Duration(float64(n) / q.rate(upstreams) * float64(time.Second))
 	}
-	var out Backlog
+	out := Backlog{Last: wait(q.waiting)}
 	ahead := 0
 	for _, rank := range slices.Sorted(maps.Keys(pieces)) {
 		ahead += pieces[rank]
-		wait := time.Duration(float64(ahead) / q.rate(upstreams) * float64(time.Second))
-		out = append(out, RankWait{Rank: rank, Wait: wait})
+		out.Ranks = append(out.Ranks, RankWait{Rank: rank, Wait: wait(ahead)})
 	}
 	return out
 }
--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -198,22 +198,24 @@
 	}
 }
 
-// More urgent groups do not wait for less urgent ones, and are not told so.
+// More urgent groups do not wait for less urgent ones, and nobody on time waits
+// for late ones; neither is told so.
 func TestBacklogIsByRank(t *testing.T) {
 	q := NewQueue(cfg)
 	q.Push(group("a", 18, 0, time.Second))
 	q.Push(group("b", 36, 2, time.Second))
+	q.Push(group("late", 18, 0, 0))
 	one := q.Duration(18)
-	b := q.Backlog(1)
+	b := q.Backlog(t0, 1)
 	for rank, want := range []time.Duration{one, one, 3 * one, 3 * one, 3 * one} {
 		if got := b.For(site.Rank(rank)).Round(time.Millisecond); got != want {
 			t.Errorf("rank %d waits %v, want %v", rank, got, want)
 		}
 	}
-	if got, want := b.All().Round(time.Millisecond), 3*one; got != want {
+	if got, want := b.Last.Round(time.Millisecond), 4*one; got != want {
 		t.Errorf("the last one waits %v, want %v", got, want)
 	}
-	if got := (Backlog)(nil).For(1); got != 0 {
+	if got := (Backlog{}).For(1); got != 0 {
 		t.Errorf("an empty queue has a wait of %v", got)
 	}
 }
