serve/gather, beside/pieces: refuse what cannot be made any more while it waits

Each group in the queue is now held against the work that goes before it, by the same rule as a new one, and is refused with the time to come back as soon as it cannot be made. TestHopelessGroupsAreRefusedEarly plays the load and fails without the check (a group waits past its deadline).

--- a/internal/beside/pieces/owner.go
+++ b/internal/beside/pieces/owner.go
@@ -268,13 +268,26 @@
 		defer p.mu.Unlock()
 		p.timer = nil
 		now := time.Now()
-		for _, g := range p.queue.Expired(now) {
-			p.end(g, Failed{Err: context.DeadlineExceeded})
-		}
+		p.refuseHopeless(now)
 		p.pump(now)
 	})
 }
 
+// refuseHopeless refuses what others have overtaken for too long, at once and
+// not when its time is over.
+func (p *pool) refuseHopeless(now time.Time) {
+	capacity := p.capacity(now)
+	for _, g := range p.queue.Hopeless(now, capacity) {
+		backlog := p.queue.Backlog(now, capacity)
+		p.owner.cfg.Log.Info("pieces given up in the queue",
+			zap.String("request", g.Request), zap.String("service", p.service), zap.Int("stage", g.Stage), zap.Int("rank", int(g.Rank)),
+			zap.Duration("waited", now.Sub(g.Arrived)), zap.Duration("left", g.Deadline.Sub(now)), zap.Duration("backlog", backlog.For(g.Rank)), zap.Duration("backlog_last", backlog.Last))
+		made := g.Made()
+		p.end(g, Refused{Retry: backlog.Last, Backlog: backlog})
+		p.owner.release(p.service, made)
+	}
+}
+
 func (p *pool) start(now time.Time, u roster.Upstream, batch []gather.Piece) {
 	s := p.state(u.ID)
 	s.busy++
--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -95,8 +95,7 @@
 			ahead += len(other.todo)
 		}
 	}
-	wait := time.Duration(float64(ahead) / q.rate(upstreams) * float64(time.Second))
-	need := wait + q.Duration(g.Pieces()) + g.Rest
+	need := q.need(g, ahead, upstreams)
 	if left := g.Deadline.Sub(now); need > left {
 		return need - left, false
 	}
@@ -256,16 +255,31 @@
 	g.todo = nil
 }
 
-// Expired removes and returns the groups whose deadline has passed.
-func (q *Queue) Expired(now time.Time) []*Group {
+// Hopeless removes and returns the groups that cannot be made before their
+// deadline behind those that go before them.
+func (q *Queue) Hopeless(now time.Time, upstreams float64) []*Group {
+	q.sort(now)
 	var out []*Group
+	ahead := 0
 	for _, g := range q.groups {
-		if !now.Before(g.Deadline) {
+		if q.need(g, ahead, upstreams) > g.Deadline.Sub(now) {
 			out = append(out, g)
+			continue
 		}
+		ahead += len(g.todo)
 	}
 	for _, g := range out {
 		q.Remove(g)
 	}
 	return out
 }
+
+// need is the expected time until the caller has the first event of a group
+// that goes behind a number of pieces.
+func (q *Queue) need(g *Group, ahead int, upstreams float64) time.Duration {
+	wait := time.Duration(0)
+	if upstreams > 0 {
+		wait = time.Duration(float64(ahead) / q.rate(upstreams) * float64(time.Second))
+	}
+	return wait + q.Duration(min(len(g.todo), q.cfg.Batch)) + g.Rest
+}
--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -68,7 +68,7 @@
 	}
 }
 
-func TestReturnRemoveExpire(t *testing.T) {
+func TestReturnRemoveHopeless(t *testing.T) {
 	q := NewQueue(cfg)
 	a := group("a", 2, 0, time.Second)
 	q.Push(a)
@@ -91,7 +91,7 @@
 	q.Push(b)
 	q.Remove(b)
 	q.Push(group("c", 3, 0, time.Second))
-	if got, want := len(q.Expired(t0.Add(time.Minute))), 1; got != want {
+	if got, want := len(q.Hopeless(t0.Add(time.Minute), 1)), 1; got != want {
 		t.Errorf("%d groups expired, want %d", got, want)
 	}
 	if got, want := q.Waiting(), 0; got != want {
--- a/internal/serve/gather/rank_test.go
+++ b/internal/serve/gather/rank_test.go
@@ -70,3 +70,41 @@
 		}
 	}
 }
+
+// The load is 1.8 times what the upstreams make, with deadlines of 3 s. What
+// urgent groups overtake until it cannot be made is refused as soon as that is
+// known, long before its time is over, and no group dies in the queue.
+func TestHopelessGroupsAreRefusedEarly(t *testing.T) {
+	const upstreams = 5
+	rnd := rand.New(rand.NewPCG(1, 1))
+	q := NewQueue(cfg)
+	var freeAt [upstreams]time.Time
+	next := t0
+	refused, early := 0, 0
+	for now := t0; now.Before(t0.Add(15 * time.Second)); now = now.Add(time.Millisecond) {
+		for !next.After(now) {
+			rank := site.Rank(rnd.IntN(3))
+			q.Push(NewGroup(Group{Arrived: now, Deadline: now.Add(3 * time.Second), Objective: now.Add(1200 * time.Millisecond), Rank: rank, Rest: 200 * time.Millisecond}, 6))
+			next = next.Add(time.Duration(rnd.ExpFloat64() / 62 * float64(time.Second)))
+		}
+		for u := range freeAt {
+			if !now.Before(freeAt[u]) {
+				freeAt[u] = now.Add(q.Duration(len(q.Batch(now, Upstream{Idle: 1, Room: plenty}))))
+			}
+		}
+		for _, g := range q.Hopeless(now, upstreams) {
+			refused++
+			if g.Deadline.Sub(now) >= 700*time.Millisecond {
+				early++
+			}
+		}
+		for _, g := range q.groups {
+			if !now.Before(g.Deadline) {
+				t.Fatalf("a group of rank %d waits past its deadline", g.Rank)
+			}
+		}
+	}
+	if refused == 0 || early < refused/2 {
+		t.Errorf("%d of %d refused with 0.7 s or more left; want half of them or more", early, refused)
+	}
+}
