--- a/internal/beside/pieces/order.go
+++ b/internal/beside/pieces/order.go
@@ -26,6 +26,8 @@
 	Zone string
 	// ResultBytes is the size of the result of a piece.
 	ResultBytes int64
+	// InputBytes is the size of all inputs together.
+	InputBytes int64
 	// Dispatched is told when the last piece has gone to an upstream, which
 	// fetches its inputs at once; nil is told nothing. It must not block.
 	Dispatched func()
--- a/internal/beside/pieces/owner.go
+++ b/internal/beside/pieces/owner.go
@@ -140,6 +140,7 @@
 		Zone:      order.Zone,
 
 		ResultBytes: order.ResultBytes,
+		InputBytes:  order.InputBytes,
 	}, order.Pieces)
 	w, refused := p.push(now, g, order.Dispatched)
 	if refused != nil {
--- a/internal/beside/pieces/remote.go
+++ b/internal/beside/pieces/remote.go
@@ -37,6 +37,7 @@
 		Zone:    o.Zone,
 
 		ResultBytes: o.ResultBytes,
+		InputBytes:  o.InputBytes,
 	}
 }
 
@@ -55,6 +56,7 @@
 		Zone:      m.Zone,
 
 		ResultBytes: m.ResultBytes,
+		InputBytes:  m.InputBytes,
 	}
 }
 
--- a/internal/front/gateway/stages.go
+++ b/internal/front/gateway/stages.go
@@ -149,6 +149,7 @@
 		Rest:        r.rest(i),
 		Rank:        r.rank,
 		ResultBytes: stage.ResultBytes,
+		InputBytes:  r.inputBytes(stage.After),
 	}
 	if len(o.Inputs) == 0 {
 		o.Key = r.PieceKey
@@ -176,6 +177,20 @@
 	return out
 }
 
+// inputBytes is the size of the results of stages, those of an omitted stage as
+// inputsOf has them.
+func (q *request) inputBytes(stages []int) int64 {
+	total := int64(0)
+	for _, a := range stages {
+		if q.pieces(a) == 0 {
+			total += q.inputBytes(q.route.Stages[a].After)
+			continue
+		}
+		total += int64(len(q.stages[a].handles)) * q.route.Stages[a].ResultBytes
+	}
+	return total
+}
+
 // rest is the expected time from the end of a stage to the first event.
 func (q *request) rest(stage int) time.Duration {
 	longest := time.Duration(0)
--- a/internal/serve/gather/group.go
+++ b/internal/serve/gather/group.go
@@ -24,6 +24,8 @@
 	Zone string
 	// ResultBytes is the size of the result of a piece.
 	ResultBytes int64
+	// InputBytes is the size of all inputs together.
+	InputBytes int64
 
 	handles []string
 	todo    []int
--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -128,8 +128,13 @@
 // make late.
 const slowFrom = 1.5
 
-// foreignWait is how long pieces wait for an upstream of their own zone.
-const foreignWait = 60 * time.Millisecond
+const (
+	// foreignWait is how long pieces wait for an upstream of their own zone for
+	// each megabyte that would cross zones otherwise, and foreignMost the
+	// longest wait.
+	foreignWait = 250 * time.Millisecond
+	foreignMost = 250 * time.Millisecond
+)
 
 // Batch takes the pieces of the next call.
 func (q *Queue) Batch(now time.Time, to Upstream) []Piece {
@@ -145,7 +150,7 @@
 	kept := q.groups[:0]
 	for _, g := range q.groups {
 		took := min(n-len(out), len(g.todo), g.fitting(room))
-		if g.foreign(to.Zone) && now.Sub(g.Arrived) < foreignWait {
+		if g.foreign(to.Zone) && now.Sub(g.Arrived) < g.patience() {
 			took = 0
 		}
 		if to.Pace >= slowFrom && !g.late(now, usual) && g.late(now, usual+extra) {
@@ -172,6 +177,12 @@
 // foreign reports whether the group belongs to another zone.
 func (g *Group) foreign(zone string) bool { return g.Zone != "" && g.Zone != zone }
 
+// patience is how long the group waits for an upstream of its own zone.
+func (g *Group) patience() time.Duration {
+	crossing := float64(g.InputBytes+int64(g.Pieces())*g.ResultBytes) / (1 << 20)
+	return min(foreignMost, time.Duration(crossing*float64(foreignWait)))
+}
+
 // fitting is the number of results that fit into room.
 func (g *Group) fitting(room int64) int {
 	if g.ResultBytes <= 0 {
--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -188,12 +188,19 @@
 	for _, zone := range []string{"a", "b", "a"} {
 		g := group(zone, 1, 0, time.Second)
 		g.Zone = zone
+		g.ResultBytes = 1 << 19
 		q.Push(g)
 	}
+	small := group("c", 1, 0, 2*time.Second)
+	small.Zone, small.ResultBytes = "c", 100
+	q.Push(small)
 	if got, want := requests(q.Batch(t0, Upstream{Idle: 1, Room: plenty, Zone: "a"})), "aa"; got != want {
 		t.Errorf("at once: got %s, want %s", got, want)
 	}
-	if got, want := requests(q.Batch(t0.Add(foreignWait), Upstream{Idle: 1, Room: plenty, Zone: "a"})), "b"; got != want {
+	if got, want := requests(q.Batch(t0.Add(time.Millisecond), Upstream{Idle: 1, Room: plenty, Zone: "a"})), "c"; got != want {
+		t.Errorf("soon: got %s, want the piece of which little crosses, %s", got, want)
+	}
+	if got, want := requests(q.Batch(t0.Add(foreignMost/2), Upstream{Idle: 1, Room: plenty, Zone: "a"})), "b"; got != want {
 		t.Errorf("later: got %s, want %s", got, want)
 	}
 }
