front/relay, fleet/news: a relay learns of control instances that make themselves known

The seeds had been exchanged for the three instances without a disk; then all processes lost power. Relays and entries started again with nothing but relays as seeds, and nobody knew a control instance, although all three ran and had a leader 0.3 s after their start.

Control instances follow the seeds too: a relay that one introduces itself to now follows it and tells of it, processes ask a relay again after 0.3 s while they know no control instance, and control instances follow the voters of their log.

--- a/cmd/hawthornhub/registry.go
+++ b/cmd/hawthornhub/registry.go
@@ -122,9 +122,11 @@
 	return errors.Join(k.serveHealth(k.readiness), k.serveOn(s.Listen.Registry, k.http))
 }
 
-// gauge updates the gauges and forgets upstreams that have long been gone.
+// gauge updates the gauges, follows the instances that hold the log, and forgets
+// upstreams that have long been gone.
 func (k *keeper) gauge(scope tally.Scope) {
 	k.table.Forget(time.Now(), forgetSilent)
+	k.follower.Load().Add(k.voters())
 	v := k.replica.Load().View()
 	leads := 0.0
 	if v.Role == quorum.Leader {
--- a/cmd/hawthornhub/relay.go
+++ b/cmd/hawthornhub/relay.go
@@ -45,7 +45,7 @@
 		Take:  func(*fleetpb.News) {},
 		Log:   r.log,
 	})
-	server := relay.New(relay.Config{Self: self, Controls: r.follower.Controls, Log: r.log})
+	server := relay.New(relay.Config{Self: self, Controls: r.follower.Controls, Found: r.follower.Add, Log: r.log})
 	var err error
 	r.links, err = link.Listen(link.ServerConfig{Address: s.Listen.Link, Local: r.local, Auth: r.auth, Handle: server.Serve, Log: r.log})
 	if err != nil {
--- a/internal/fleet/news/follower.go
+++ b/internal/fleet/news/follower.go
@@ -24,8 +24,10 @@
 const (
 	// redial is the wait before a control instance is dialled again.
 	redial = 100 * time.Millisecond
-	// relayAgain is the wait before a relay is asked again.
+	// relayAgain is the wait before a relay is asked again, and relaySoon that
+	// while no control instance is known to live.
 	relayAgain = 2 * time.Second
+	relaySoon  = 300 * time.Millisecond
 )
 
 // errRelay ends the stream to a relay, which has nothing more to tell.
@@ -161,17 +163,25 @@
 	for f.ctx.Err() == nil {
 		err := f.watch(f.ctx, s)
 		f.disconnected(s, err)
-		pause := redial
-		if errors.Is(err, errRelay) {
-			pause = relayAgain
-		}
 		select {
 		case <-f.ctx.Done():
-		case <-time.After(pause):
+		case <-time.After(f.pause(err)):
 		}
 	}
 }
 
+// pause is the wait before a control instance is followed again after err.
+func (f *Follower) pause(err error) time.Duration {
+	switch {
+	case !errors.Is(err, errRelay):
+		return redial
+	case f.Connected() == 0:
+		return relaySoon
+	default:
+		return relayAgain
+	}
+}
+
 func (f *Follower) disconnected(s *source, err error) {
 	f.mu.Lock()
 	was := s.connected
--- a/internal/front/relay/doc.go
+++ b/internal/front/relay/doc.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	r := relay.New(relay.Config{Self: self, Controls: follower.Controls, Log: log})
+//	r := relay.New(relay.Config{Self: self, Controls: follower.Controls, Found: follower.Add, Log: log})
 //	host, ok := r.Next() // where the next call goes
 //	r.Serve(ctx, stream, envelope)
 package relay
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -21,7 +21,10 @@
 	// Controls returns the link addresses of the control instances that are
 	// connected now.
 	Controls func() []string
-	Log      *zap.Logger
+	// Found is told of the link addresses of control instances that make
+	// themselves known. It must not block.
+	Found func(addresses []string)
+	Log   *zap.Logger
 }
 
 // Relay knows where the control instances are. It is safe for concurrent use.
@@ -58,8 +61,11 @@
 
 // reply returns the answer to the first message of a stream.
 func (r *Relay) reply(first *fleetpb.Envelope) (*fleetpb.Envelope, error) {
-	switch first.Body.(type) {
+	switch body := first.Body.(type) {
 	case *fleetpb.Envelope_Watch:
+		if self := body.Watch.GetSelf(); self.GetRole() == news.RoleControl {
+			r.cfg.Found([]string{self.GetLink()})
+		}
 		return &fleetpb.Envelope{Body: &fleetpb.Envelope_News{News: r.peers()}}, nil
 	case *fleetpb.Envelope_Hello:
 		// The identity of a disk is never zero: this instance has none.
--- a/internal/front/relay/relay_test.go
+++ b/internal/front/relay/relay_test.go
@@ -85,7 +85,7 @@
 	address := server.Address()
 	self := func() *fleetpb.Peer { return &fleetpb.Peer{Name: address, Role: news.RoleRelay, Link: address} }
 	f, _ := follow(t, self, seeds...)
-	r = New(Config{Self: self, Controls: f.Controls, Log: zap.NewNop()})
+	r = New(Config{Self: self, Controls: f.Controls, Found: f.Add, Log: zap.NewNop()})
 	close(ready)
 	return r, address
 }
@@ -144,3 +144,13 @@
 		t.Errorf("got %v, want name %s and no identity", got, address)
 	}
 }
+
+// After all processes have started again with relays as their only seeds, a
+// control instance makes itself known to the relay, and entries find it there.
+func TestRelayLearnsOfControl(t *testing.T) {
+	_, address := startRelay(t)
+	e, _ := follow(t, entryPeer, address)
+	control := startControl(t)
+	follow(t, func() *fleetpb.Peer { return &fleetpb.Peer{Name: control, Role: news.RoleControl, Link: control} }, address)
+	eventually(t, "the control instance at the entry", func() bool { return e.Connected() == 1 })
+}
