--- a/cmd/hawthornhub/main.go
+++ b/cmd/hawthornhub/main.go
@@ -6,6 +6,7 @@
 //	hawthornhub entry|agent|control|gateway|registry --settings FILE
 //	hawthornhub check --settings FILE --role ROLE [--document FILE]
 //	hawthornhub config get|edit|history --control ADDRESS --team NAME --key-file FILE
+//	hawthornhub document get|put --control ADDRESS --key-file FILE
 //	hawthornhub status|drain|orders|timeline --control ADDRESS --team NAME --key-file FILE
 //	hawthornhub explain REQUEST LOG...
 //	hawthornhub version
@@ -65,6 +66,7 @@
 	commands = append(commands, configCommands(app)...)
 	commands = append(commands, statusCommand(app), drainCommand(app), timelineCommand(app))
 	commands = append(commands, orderCommands(app)...)
+	commands = append(commands, documentCommands(app)...)
 	commands = append(commands, explainCommand(app), versionCommand(app))
 	chosen, err := app.Parse(os.Args[1:])
 	if err != nil {
