fleet/news: while a control instance comes back, the list from before its loss counts as well

For two seconds after its return the list that a control instance gave before counts too. TestPeersStayWhileControlComesBack failed first (1 entry in place of 2).

--- a/internal/fleet/news/follower.go
+++ b/internal/fleet/news/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,9 @@
 	// while no control instance is known to live.
 	relayAgain = 2 * time.Second
 	relaySoon  = 300 * time.Millisecond
+	// joinTime is how long processes may take to watch a control instance that
+	// has come back: until then the list from before its loss counts as well.
+	joinTime = 2 * time.Second
 )
 
 // errRelay ends the stream to a relay, which has nothing more to tell.
@@ -66,6 +70,17 @@
 	// peers is its last list, kept while it is away.
 	peers     []*fleetpb.Peer
 	connected bool
+	// before is its list from before it was lost, since when it is back.
+	before []*fleetpb.Peer
+	since  time.Time
+}
+
+// lists returns the processes that the control instance lists.
+func (s *source) lists(now time.Time) []*fleetpb.Peer {
+	if now.Sub(s.since) < joinTime {
+		return slices.Concat(s.peers, s.before)
+	}
+	return s.peers
 }
 
 // NewFollower starts to follow.
@@ -108,13 +123,13 @@
 }
 
 func (f *Follower) collect(out map[string]*fleetpb.Peer, role string, connected bool) int {
-	sources := 0
+	sources, now := 0, time.Now()
 	for _, s := range f.sources {
 		if connected && !s.connected {
 			continue
 		}
 		sources++
-		for _, p := range s.peers {
+		for _, p := range s.lists(now) {
 			if p.Role != role || p.Incarnation < out[p.Name].GetIncarnation() {
 				continue
 			}
@@ -229,6 +244,7 @@
 	f.mu.Lock()
 	if !s.connected {
 		f.cfg.Log.Info("control instance found", zap.String("peer", s.address))
+		s.before, s.since = s.peers, time.Now()
 	}
 	s.connected = true
 	s.stream = st
--- a/internal/fleet/news/news_test.go
+++ b/internal/fleet/news/news_test.go
@@ -25,14 +25,21 @@
 	hub    *Hub
 	table  *roster.Table
 	server *link.Server
+	// stop ends it, once.
+	stop func()
 }
 
 func newController(t *testing.T) *controller {
+	t.Helper()
+	return newControllerAt(t, "127.0.0.1:0")
+}
+
+func newControllerAt(t *testing.T, at string) *controller {
 	t.Helper()
 	c := &controller{table: roster.New(roster.Config{})}
 	var err error
 	ready := make(chan struct{})
-	c.server, err = link.Listen(link.ServerConfig{Address: "127.0.0.1:0", Auth: auth, Handle: func(ctx context.Context, st *link.Stream, first *fleetpb.Envelope) {
+	c.server, err = link.Listen(link.ServerConfig{Address: at, Auth: auth, Handle: func(ctx context.Context, st *link.Stream, first *fleetpb.Envelope) {
 		<-ready
 		c.hub.Serve(ctx, st, first.GetWatch())
 	}})
@@ -47,10 +54,11 @@
 		Log:    zap.NewNop(),
 	})
 	close(ready)
-	t.Cleanup(func() {
+	c.stop = sync.OnceFunc(func() {
 		c.server.Close()
 		c.hub.Close()
 	})
+	t.Cleanup(c.stop)
 	return c
 }
 
@@ -257,3 +265,23 @@
 		return u.Seq == 2 && u.Heard.After(first.Heard) && u.Service == "s"
 	})
 }
+
+// When a control instance comes back, its watchers join it one by one. Those
+// that were there before count at once, so that all processes go on choosing
+// the same owners; those that do not come back are dropped soon.
+func TestPeersStayWhileControlComesBack(t *testing.T) {
+	c := newController(t)
+	address := c.server.Address()
+	e1 := newEntry(t, "e1", address)
+	e2 := newEntry(t, "e2", address)
+	eventually(t, "both entries", func() bool { return len(e1.Peers(RoleEntry)) == 2 && len(e2.Peers(RoleEntry)) == 2 })
+	c.stop()
+	eventually(t, "the loss", func() bool { return e1.Connected() == 0 })
+	e2.Close()
+	back := newControllerAt(t, address)
+	eventually(t, "the return", func() bool { return e1.Connected() == 1 && back.hub.Watchers() == 1 })
+	if got, want := len(e1.Peers(RoleEntry)), 2; got != want {
+		t.Errorf("%d entries right after control came back, want %d", got, want)
+	}
+	eventually(t, "the drop of the entry that is gone", func() bool { return len(e1.Peers(RoleEntry)) == 1 })
+}
