beside/pieces: a slow upstream is spared only where there is a faster one

Cause, found by reading the change: pieces that a slow upstream would make late wait for a faster one, also where all upstreams of the service are slow; they then waited until they were late. The pace is now held against that of the fastest usable upstream. TestAllSlowUpstreamsAreUsed failed first (1.03 s in place of at once).

Also: one backlog for all groups that are refused together, one list of the fields of a decision.

--- a/internal/beside/pieces/owner.go
+++ b/internal/beside/pieces/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -171,7 +172,7 @@
 	if retry, ok := p.queue.Admit(now, g, capacity); !ok {
 		p.owner.cfg.Log.Info("pieces refused",
 			zap.String("request", g.Request), zap.String("service", p.service), zap.Int("stage", g.Stage),
-			zap.Int("waiting", p.queue.Waiting()), zap.Float64("upstreams", capacity), zap.Duration("retry", retry))
+			zap.Int("waiting", p.queue.Waiting()), zap.Float64("upstreams", math.Round(10*capacity)/10), zap.Duration("retry", retry))
 		return nil, &Refused{Retry: retry, Backlog: p.queue.Backlog(now, capacity)}
 	}
 	w := &waiter{done: make(chan Result, 1), began: now, last: now, dispatched: dispatched}
@@ -206,6 +207,16 @@
 	return out
 }
 
+// fastest returns the pace of the fastest upstream. Where all are slow, none is
+// to be spared.
+func (p *pool) fastest(now time.Time, upstreams []roster.Upstream) float64 {
+	fastest := math.Inf(1)
+	for _, u := range upstreams {
+		fastest = min(fastest, p.state(u.ID).pace.factor(now))
+	}
+	return fastest
+}
+
 // capacity returns the work of the usable upstreams in upstreams of the usual
 // pace.
 func (p *pool) capacity(now time.Time) float64 {
@@ -232,7 +243,9 @@
 		return
 	}
 	var idle []roster.Upstream
-	for _, u := range p.usable(now) {
+	usable := p.usable(now)
+	usual := p.fastest(now, usable)
+	for _, u := range usable {
 		if s := p.state(u.ID); s.busy == 0 && !now.Before(s.restTil) {
 			idle = append(idle, u)
 		}
@@ -247,7 +260,7 @@
 			Idle: len(idle) - i,
 			Room: s.room.left(now, p.roomBytes),
 			Zone: u.Zone,
-			Pace: s.pace.factor(now),
+			Pace: s.pace.factor(now) / usual,
 		})
 		if len(batch) == 0 {
 			continue
@@ -278,8 +291,9 @@
 // not when its time is over.
 func (p *pool) refuseHopeless(now time.Time) {
 	capacity := p.capacity(now)
-	for _, g := range p.queue.Hopeless(now, capacity) {
-		backlog := p.queue.Backlog(now, capacity)
+	hopeless := p.queue.Hopeless(now, capacity)
+	backlog := p.queue.Backlog(now, capacity)
+	for _, g := range hopeless {
 		p.owner.cfg.Log.Info("pieces given up in the queue",
 			zap.String("request", g.Request), zap.String("service", p.service), zap.Int("stage", g.Stage), zap.Int("rank", int(g.Rank)),
 			zap.Duration("waited", now.Sub(g.Arrived)), zap.Duration("left", g.Deadline.Sub(now)), zap.Duration("backlog", backlog.For(g.Rank)), zap.Duration("backlog_last", backlog.Last))
--- a/internal/beside/pieces/pace_test.go
+++ b/internal/beside/pieces/pace_test.go
@@ -1,6 +1,7 @@
 package pieces
 
 import (
+	"context"
 	"testing"
 	"time"
 )
@@ -29,3 +30,18 @@
 		t.Errorf("after many usual calls: %.2f, want 1", got)
 	}
 }
+
+// Where every upstream is slow there is no faster one to wait for.
+func TestAllSlowUpstreamsAreUsed(t *testing.T) {
+	o := newOwner(t, 1<<40, newMaker(t))
+	checkMade(t, o.Do(context.Background(), order("first", 1)), "first", 1)
+	p := o.pools["scan"]
+	p.mu.Lock()
+	p.state("m0").pace.exceeded(time.Now(), 500)
+	p.mu.Unlock()
+	began := time.Now()
+	checkMade(t, o.Do(context.Background(), order("r", 2)), "r", 2)
+	if took := time.Since(began); took > 500*time.Millisecond {
+		t.Errorf("made after %v, want at once", took)
+	}
+}
--- a/internal/front/gateway/pace.go
+++ b/internal/front/gateway/pace.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"hawthornhub.example/hawthornhub/internal/serve/pace"
+	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
 // patience is the time until the caller gives up.
@@ -35,7 +36,7 @@
 		switch d := pace.Decide(r).(type) {
 		case pace.Begin:
 			if held {
-				q.server.cfg.Log.Info("request begins late", q.fields(append(way.fields(), zap.Int("rank", int(q.rank)))...)...)
+				q.server.cfg.Log.Info("request begins late", q.fields(way.fields(q.rank)...)...)
 			}
 			return nil
 		case pace.Refuse:
@@ -45,7 +46,7 @@
 				return q.stopped()
 			}
 			if !held {
-				q.server.cfg.Log.Info("request held back", q.fields(append(way.fields(), zap.Int("rank", int(q.rank)))...)...)
+				q.server.cfg.Log.Info("request held back", q.fields(way.fields(q.rank)...)...)
 			}
 			held = true
 			select {
@@ -62,8 +63,10 @@
 // in the queues on it for a request on time and for one behind all others.
 type way struct{ work, wait, last time.Duration }
 
-func (w way) fields() []zap.Field {
-	return []zap.Field{zap.Duration("work", w.work), zap.Duration("wait", w.wait), zap.Duration("wait_last", w.last)}
+// fields returns what a log line on a decision by the way says, with the rank
+// that decided.
+func (w way) fields(rank site.Rank) []zap.Field {
+	return []zap.Field{zap.Duration("work", w.work), zap.Duration("wait", w.wait), zap.Duration("wait_last", w.last), zap.Int("rank", int(rank))}
 }
 
 func (w way) longerThan(other way) bool { return w.work+w.wait > other.work+other.wait }
--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -119,8 +119,9 @@
 	// Zone is its availability zone. Pieces of another wait a little for an
 	// upstream of theirs.
 	Zone string
-	// Pace is how many times its expected time a call takes there; 0 counts as
-	// 1. Pieces that only a faster upstream makes on time wait for one.
+	// Pace is how many times the time of the fastest upstream a call takes
+	// there; 0 counts as 1. Pieces that only a faster upstream makes on time
+	// wait for one.
 	Pace float64
 }
 
