--- a/cmd/hawthornhub/document.go
+++ b/cmd/hawthornhub/document.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -11,6 +10,7 @@
 
 	"hawthornhub.example/hawthornhub/internal/fleet/control"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
+	"hawthornhub.example/hawthornhub/internal/operator/settings"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 	"hawthornhub.example/hawthornhub/platform"
@@ -36,11 +36,11 @@
 
 // do calls act with a client of the registries.
 func (l linked) do(act func(ctx context.Context, c *control.Client) error) (err error) {
-	key, err := os.ReadFile(*l.keyFile)
+	key, err := settings.Site{FleetKeyFile: *l.keyFile}.FleetKey()
 	if err != nil {
-		return &exitError{code: exitUsage, err: fmt.Errorf("read fleet key: %w", err)}
+		return &exitError{code: exitUsage, err: err}
 	}
-	pool := link.NewPool(link.PoolConfig{Local: link.Local{Name: "operator"}, Auth: link.Auth{Key: bytes.TrimSpace(key)}, Dial: siteDial})
+	pool := link.NewPool(link.PoolConfig{Local: link.Local{Name: "operator"}, Auth: link.Auth{Key: key}, Dial: siteDial})
 	defer func() { err = errors.Join(err, pool.Close()) }()
 	var peers []control.Address
 	for _, a := range *l.addresses {
--- a/internal/fleet/replica/open_test.go
+++ b/internal/fleet/replica/open_test.go
@@ -7,14 +7,9 @@
 	"path/filepath"
 	"slices"
 	"testing"
-	"time"
-
-	"github.com/asynkron/protoactor-go/actor"
-	"go.uber.org/zap"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/control"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
-	"hawthornhub.example/hawthornhub/internal/fleet/timeline"
 	"hawthornhub.example/hawthornhub/internal/state/machine"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
@@ -55,24 +50,7 @@
 
 func (g *group) startOpen(m *member, first bool) {
 	g.t.Helper()
-	auth := link.Auth{Key: fleetKey}
-	local := link.Local{Name: m.name}
-	m.pool = link.NewPool(link.PoolConfig{Local: local, Auth: auth})
-	m.system = actor.NewActorSystem()
-	var err error
-	m.replica, err = Start(Config{
-		Name: m.name, DataDir: m.dir, Document: firstDocument, Peers: g.peers, Open: true, Joins: !first, Voters: len(g.members), Found: g.addresses,
-		Tick: 10 * time.Millisecond, SnapshotEntries: 200, Pool: m.pool, System: m.system,
-		Timeline: timeline.NewRecorder(timeline.Config{Process: m.name}), Log: zap.NewNop(),
-		Fatal: func(err error) { g.t.Errorf("%s: %v", m.name, err) },
-	})
-	if err != nil {
-		g.t.Fatal(err)
-	}
-	m.server, err = link.Listen(link.ServerConfig{Address: m.address, Local: local, Auth: auth, Handle: m.replica.Serve})
-	if err != nil {
-		g.t.Fatal(err)
-	}
+	g.run(m, Config{Open: true, Joins: !first, Voters: len(g.members), Found: g.addresses})
 }
 
 // addresses returns where all members are, as News tell it.
--- a/internal/fleet/replica/replica_test.go
+++ b/internal/fleet/replica/replica_test.go
@@ -111,20 +111,26 @@
 
 func (g *group) start(m *member) {
 	g.t.Helper()
-	auth := link.Auth{Key: fleetKey}
-	local := link.Local{Name: m.name}
-	m.pool = link.NewPool(link.PoolConfig{Local: local, Auth: auth})
-	m.system = actor.NewActorSystem()
 	folder, err := disk.Folder(m.dir)
 	if err != nil {
 		g.t.Fatal(err)
 	}
-	r, err := Start(Config{
-		Name: m.name, DataDir: m.dir, Files: limited{folder, &m.full}, Document: firstDocument, Peers: g.peers,
-		Tick: 10 * time.Millisecond, SnapshotEntries: 200, Pool: m.pool, System: m.system,
-		Timeline: timeline.NewRecorder(timeline.Config{Process: m.name}), Log: zap.NewNop(),
-		Fatal: func(err error) { g.t.Errorf("%s: %v", m.name, err) },
-	})
+	g.run(m, Config{Files: limited{folder, &m.full}})
+}
+
+// run starts a member with what cfg says beside what all have.
+func (g *group) run(m *member, cfg Config) {
+	g.t.Helper()
+	auth := link.Auth{Key: fleetKey}
+	local := link.Local{Name: m.name}
+	m.pool = link.NewPool(link.PoolConfig{Local: local, Auth: auth})
+	m.system = actor.NewActorSystem()
+	cfg.Name, cfg.DataDir, cfg.Document, cfg.Peers = m.name, m.dir, firstDocument, g.peers
+	cfg.Tick, cfg.SnapshotEntries = 10*time.Millisecond, 200
+	cfg.Pool, cfg.System = m.pool, m.system
+	cfg.Timeline, cfg.Log = timeline.NewRecorder(timeline.Config{Process: m.name}), zap.NewNop()
+	cfg.Fatal = func(err error) { g.t.Errorf("%s: %v", m.name, err) }
+	r, err := Start(cfg)
 	if err != nil {
 		g.t.Fatal(err)
 	}
