--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -60,6 +60,8 @@
 	batchRouter *batcher.Router
 	server      *gateway.Server
 	follower    atomic.Pointer[watch.Follower]
+	// batchOwners caches the result of batchOwnerAddresses.
+	batchOwners atomic.Pointer[batchOwners]
 	linkServer  *link.Server
 	callerHTTP  *http.Server
 	// readyHTTP serves the readiness check of the load balancer.
@@ -120,7 +122,11 @@
 		Seeds:        s.ControlAddresses(),
 		WatchRequest: g.watchRequest,
 		OnNews:       g.applyNews,
-		Log:          g.log,
+		OnSilence:    func(ids map[string]bool) { g.upstreams.SetSilent(ids, time.Now()) },
+		Lacking: func(known []*fleetpb.UpstreamWord) []*fleetpb.UpstreamWord {
+			return g.upstreams.Lacking(known, time.Now())
+		},
+		Log: g.log,
 	}))
 	g.startGauges(g.updateGauges)
 	g.callerHTTP = &http.Server{Handler: g.server, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxRequestHeaderBytes}
@@ -159,10 +165,6 @@
 	if x := g.server.Index(); x != nil {
 		w.Version = x.Version
 	}
-	now := time.Now()
-	for _, u := range g.upstreams.All() {
-		w.Upstreams = append(w.Upstreams, u.Proto(now))
-	}
 	return w
 }
 
@@ -173,7 +175,6 @@
 	for _, u := range n.Upstreams {
 		g.upstreams.Merge(catalog.FromProto(u, now))
 	}
-	watch.RefreshUpstreams(g.upstreams, n, now)
 	if n.Adopted == nil {
 		return
 	}
@@ -220,18 +221,34 @@
 // batchOwnerAddresses returns the link addresses of the entries that may own the
 // batching of a service. Entries that share an instance with a control process are
 // excluded as long as there are others, so that the loss of one instance does not
-// take both an owner and a control process.
+// take both an owner and a control process. The caller must not modify the slice.
 func (g *gatewayProcess) batchOwnerAddresses() []string {
 	f := g.follower.Load()
 	if f == nil {
 		return nil
 	}
+	view := f.View()
+	cached := g.batchOwners.Load()
+	if cached == nil || cached.view != view {
+		cached = &batchOwners{view: view, addresses: findBatchOwners(view)}
+		g.batchOwners.Store(cached)
+	}
+	return cached.addresses
+}
+
+// batchOwners are the batch owners in a list of processes.
+type batchOwners struct {
+	view      *watch.View
+	addresses []string
+}
+
+func findBatchOwners(view *watch.View) []string {
 	controlHosts := make(map[string]bool)
-	for _, p := range f.Peers(watch.RoleControl) {
+	for _, p := range view.Peers(watch.RoleControl) {
 		controlHosts[hostOf(p.Link)] = true
 	}
 	var all, separate []string
-	for _, p := range f.Peers(watch.RoleEntry) {
+	for _, p := range view.Peers(watch.RoleEntry) {
 		if p.Leaving {
 			continue
 		}
--- a/cmd/hawthornhub/registry.go
+++ b/cmd/hawthornhub/registry.go
@@ -130,7 +130,7 @@
 // updateGauges updates the gauges. It also makes the follower watch the current
 // Raft voters, and removes expired upstreams from the catalog.
 func (p *registryProcess) updateGauges(scope tally.Scope) {
-	p.upstreams.RemoveExpired(time.Now(), unresponsiveRetention)
+	p.hub.ForgetUpstreams(p.upstreams.RemoveExpired(time.Now(), unresponsiveRetention))
 	p.follower.Load().Add(p.voters())
 	status := p.replica.Load().Status()
 	isLeader := 0.0
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -280,7 +280,7 @@
 }
 
 func (q *request) logAttempt(message string, u catalog.Upstream, err error) {
-	q.server.cfg.Log.Info(message, q.fields(zap.String("upstream_at", u.Address), zap.Duration("heard", time.Since(u.LastSeen)), zap.Error(err))...)
+	q.server.cfg.Log.Info(message, q.fields(zap.String("upstream_at", u.Address), zap.Bool("silent", u.Silent), zap.Error(err))...)
 }
 
 // maxConnections returns this entry's share of the connections to an upstream, 0
--- a/internal/api/relay/relay.go
+++ b/internal/api/relay/relay.go
@@ -81,7 +81,7 @@
 // peers returns the peer records of this instance and of the connected control
 // instances.
 func (r *Relay) peers() *fleetpb.News {
-	n := &fleetpb.News{Seq: 1, WholePeers: true, Peers: []*fleetpb.Peer{r.cfg.Self()}}
+	n := &fleetpb.News{Seq: 1, Whole: true, Peers: []*fleetpb.Peer{r.cfg.Self()}}
 	for _, address := range r.cfg.Controls() {
 		n.Peers = append(n.Peers, &fleetpb.Peer{Name: address, Role: watch.RoleControl, Link: address})
 	}
--- a/internal/dispatch/batcher/owner.go
+++ b/internal/dispatch/batcher/owner.go
@@ -201,13 +201,13 @@
 	return j.Completed()
 }
 
-// usable returns the upstreams that are neither unresponsive nor in backoff, or
+// usable returns the upstreams that are neither silent nor in backoff, or
 // all upstreams if none qualifies.
 func (d *dispatcher) usable(now time.Time) []catalog.Upstream {
 	all := d.owner.cfg.Upstreams(d.service)
 	var out []catalog.Upstream
 	for _, u := range all {
-		if !u.Unresponsive(now) && !now.Before(d.upstream(u.ID).backoffUntil) {
+		if !u.Silent && !now.Before(d.upstream(u.ID).backoffUntil) {
 			out = append(out, u)
 		}
 	}
--- a/internal/fleet/catalog/table.go
+++ b/internal/fleet/catalog/table.go
@@ -4,6 +4,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
 
 // tombstoneTTL is how long an upstream that has left is kept; it must exceed
@@ -80,6 +82,7 @@
 	if known && u.LastSeen.Before(current.LastSeen) {
 		u.LastSeen = current.LastSeen
 	}
+	u.Silent = known && current.StartTimeMs == u.StartTimeMs && current.Silent
 	t.put(current, u)
 	if known && equalExceptLiveness(current, u) {
 		return Refreshed
@@ -117,9 +120,60 @@
 func equalExceptLiveness(a, b Upstream) bool {
 	a.Seq, b.Seq = 0, 0
 	a.LastSeen, b.LastSeen = time.Time{}, time.Time{}
+	a.Silent, b.Silent = false, false
 	return a == b
 }
 
+// UpdateSilence judges by LastSeen which upstreams are silent at now, and returns the
+// IDs of those that have fallen silent or have been heard again since the last call.
+func (t *Table) UpdateSilence(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changed []string
+	for id, u := range t.byID {
+		silent := u.State != Left && now.Sub(u.LastSeen) > silentAfter
+		if silent != u.Silent {
+			t.put(u, u.withSilent(silent))
+			changed = append(changed, id)
+		}
+	}
+	return changed
+}
+
+// SetSilent sets which upstreams are silent at now, for a process that they do not
+// announce themselves to.
+func (t *Table) SetSilent(ids map[string]bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, u := range t.byID {
+		if silent := ids[id]; silent != u.Silent {
+			u.LastSeen = now
+			t.put(u, u.withSilent(silent))
+		}
+	}
+}
+
+// Lacking returns the upstreams that the given announcements, which another process
+// sent at now, leave out or hold in an older state. Those that are not silent count
+// as seen now.
+func (t *Table) Lacking(known []*fleetpb.UpstreamWord, now time.Time) []*fleetpb.UpstreamWord {
+	held := make(map[string]*fleetpb.UpstreamWord, len(known))
+	for _, w := range known {
+		held[w.Id] = w
+	}
+	var out []*fleetpb.UpstreamWord
+	for _, u := range t.All() {
+		if w := held[u.ID]; w != nil && (w.BornMs > u.StartTimeMs || w.BornMs == u.StartTimeMs && State(w.State) >= u.State) {
+			continue
+		}
+		if !u.Silent && u.State != Left {
+			u.LastSeen = now
+		}
+		out = append(out, u.Proto(now))
+	}
+	return out
+}
+
 // markLeft marks an upstream as left. An announcement without a start time
 // refers to the known start.
 func (t *Table) markLeft(current Upstream, known bool, u Upstream) Outcome {
@@ -235,19 +289,23 @@
 }
 
 // RemoveExpired removes upstreams that left more than tombstoneTTL before now,
-// and those that were last seen more than tombstoneTTL+extra before now and may
-// have stopped without announcing so.
-func (t *Table) RemoveExpired(now time.Time, extra time.Duration) {
+// and silent ones that were last seen more than tombstoneTTL+extra before now and may
+// have stopped without announcing so. It returns the IDs of those that it removed.
+func (t *Table) RemoveExpired(now time.Time, extra time.Duration) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var removed []string
 	for id, u := range t.byID {
 		age := now.Sub(u.LastSeen)
-		if u.State == Left && age > tombstoneTTL || age > tombstoneTTL+extra {
-			delete(t.byID, id)
-			t.ready = nil
-			if t.byAddr[u.Address] == id {
-				delete(t.byAddr, u.Address)
-			}
+		if !(u.State == Left && age > tombstoneTTL || u.Silent && age > tombstoneTTL+extra) {
+			continue
+		}
+		delete(t.byID, id)
+		removed = append(removed, id)
+		t.ready = nil
+		if t.byAddr[u.Address] == id {
+			delete(t.byAddr, u.Address)
 		}
 	}
+	return removed
 }
--- a/internal/fleet/catalog/upstream.go
+++ b/internal/fleet/catalog/upstream.go
@@ -46,18 +46,19 @@
 	StartTimeMs int64
 	// Seq increases with each announcement of one start.
 	Seq uint64
-	// LastSeen is when the announcement was received from the upstream.
+	// LastSeen is when the announcement was received from the upstream. A process
+	// that upstreams do not announce themselves to learns only of announcements that
+	// change something, and sets it anew when the upstream falls silent.
 	LastSeen time.Time
+	// Silent is set if the upstream has not been heard for so long that it should be
+	// called only if there is no other.
+	Silent bool
 }
 
-// unresponsiveAfter is the time without an announcement after which an upstream
-// is considered unresponsive. A live upstream stays below it: its announcements
-// are propagated every few tenths of a second.
-const unresponsiveAfter = 2200 * time.Millisecond
-
-// Unresponsive reports whether the upstream has not been seen for so long that
-// it should be called only if there is no other.
-func (u Upstream) Unresponsive(now time.Time) bool { return now.Sub(u.LastSeen) > unresponsiveAfter }
+// silentAfter is the time without an announcement after which an upstream is
+// silent. A live upstream stays below it: control instances exchange what they hear
+// every few tenths of a second.
+const silentAfter = 2 * time.Second
 
 // WithState returns a copy of the upstream in state s.
 func (u Upstream) WithState(s State) Upstream {
@@ -65,6 +66,12 @@
 	return u
 }
 
+// withSilent returns a copy of the upstream with the given silence.
+func (u Upstream) withSilent(silent bool) Upstream {
+	u.Silent = silent
+	return u
+}
+
 // Proto returns the upstream as a protobuf message sent at now.
 func (u Upstream) Proto(now time.Time) *fleetpb.UpstreamWord {
 	return &fleetpb.UpstreamWord{
@@ -78,10 +85,12 @@
 		Seq:     u.Seq,
 		Version: u.Version,
 		AgeMs:   now.Sub(u.LastSeen).Milliseconds(),
+		Silent:  u.Silent,
 	}
 }
 
-// FromProto returns the upstream described by a message received at now.
+// FromProto returns the upstream described by a message received at now. It leaves
+// Silent unset: each process judges silence for itself.
 func FromProto(w *fleetpb.UpstreamWord, now time.Time) Upstream {
 	return Upstream{
 		ID:          w.Id,
--- a/internal/fleet/link/pool.go
+++ b/internal/fleet/link/pool.go
@@ -144,12 +144,13 @@
 		conn.Close()
 		return nil, err
 	}
-	session, err := yamux.Client(&coalescer{Conn: secured}, yamuxConfig())
+	meter := newReceiveMeter(secured)
+	session, err := yamux.Client(&coalescer{Conn: meter}, yamuxConfig())
 	if err != nil {
 		conn.Close()
 		return nil, fmt.Errorf("start session with %s: %w", address, err)
 	}
-	if !p.startHeartbeat(pr, session, address) {
+	if !p.startHeartbeat(heartbeat{pool: p, peer: pr, session: session, meter: meter, address: address}) {
 		session.Close()
 		return nil, fmt.Errorf("link pool is closed: %w", net.ErrClosed)
 	}
@@ -159,71 +160,17 @@
 
 // startHeartbeat starts the heartbeat of a session. It reports false if the Pool
 // is closed.
-func (p *Pool) startHeartbeat(pr *peer, session *yamux.Session, address string) bool {
+func (p *Pool) startHeartbeat(h heartbeat) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return false
 	}
 	p.wg.Add(1)
-	go p.heartbeat(pr, session, address)
+	go h.run()
 	return true
 }
 
-// heartbeat sends heartbeats and closes the session when one is not answered in
-// time or the session is idle.
-func (p *Pool) heartbeat(pr *peer, session *yamux.Session, address string) {
-	defer p.wg.Done()
-	defer session.Close()
-	raw, err := session.OpenStream()
-	if err != nil {
-		return
-	}
-	st := newStream(p.cfg.Local, raw)
-	defer st.Close()
-	ticker := time.NewTicker(p.cfg.HeartbeatInterval)
-	defer ticker.Stop()
-	for seq := uint64(1); ; seq++ {
-		pong, err := p.ping(st, seq)
-		if err != nil {
-			if !session.IsClosed() {
-				p.cfg.Log.Warn("session silent, dropped", zap.String("address", address), zap.Error(err))
-			}
-			return
-		}
-		if p.cfg.OnPong != nil {
-			p.cfg.OnPong(address, pong)
-		}
-		if pr.closeIdle(session, p.cfg.IdleTimeout) {
-			return
-		}
-		select {
-		case <-session.CloseChan():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// ping sends one heartbeat and returns its reply.
-func (p *Pool) ping(st *Stream, seq uint64) (*fleetpb.Pong, error) {
-	deadline := time.Now().Add(p.cfg.HeartbeatTimeout)
-	if err := st.raw.SetDeadline(deadline); err != nil {
-		return nil, err
-	}
-	if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_Ping{Ping: &fleetpb.Ping{Seq: seq}}}); err != nil {
-		return nil, err
-	}
-	e, err := st.Recv()
-	if err != nil {
-		return nil, err
-	}
-	if e.GetPong() == nil {
-		return nil, fmt.Errorf("unexpected reply to a heartbeat: %T", e.Body)
-	}
-	return e.GetPong(), nil
-}
-
 // RoundTrip sends one Envelope on a new stream and returns the reply. A Failure
 // is returned as a *FailureError.
 func (p *Pool) RoundTrip(ctx context.Context, address string, e *fleetpb.Envelope) (*fleetpb.Envelope, error) {
--- a/internal/fleet/watch/follower.go
+++ b/internal/fleet/watch/follower.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
-	"slices"
+	"maps"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,16 +27,15 @@
 )
 
 const (
-	// redialDelay is the delay before a control instance is dialled again.
-	redialDelay = 100 * time.Millisecond
+	// redialDelay is the delay before a control instance is dialled again the first
+	// time. It doubles with each failure up to maxRedialDelay, and half of it is
+	// random, so that processes that lost an instance together do not return at once.
+	redialDelay    = 100 * time.Millisecond
+	maxRedialDelay = 400 * time.Millisecond
 	// relayPollInterval is the delay before a relay is queried again, and
 	// relayFastPollInterval that delay while no control instance is connected.
-	relayPollInterval     = 2 * time.Second
+	relayPollInterval     = 15 * time.Second
 	relayFastPollInterval = 300 * time.Millisecond
-	// rejoinGracePeriod is how long processes may take to reconnect to a control
-	// instance that has come back. Until it ends, the peers that the instance
-	// listed before it was lost count as well.
-	rejoinGracePeriod = 2 * time.Second
 )
 
 // errRelay ends the stream to a relay, which sends nothing after its list of
@@ -52,7 +53,14 @@
 	// for one control instance are sequential; those for different instances
 	// are concurrent.
 	OnNews func(*fleetpb.News)
-	Log    *zap.Logger
+	// OnSilence is called with the IDs of the upstreams that no connected control
+	// instance hears, whenever the set changes; nil ignores them. It must not call the
+	// Follower.
+	OnSilence func(ids map[string]bool)
+	// Lacking returns the known upstreams that a control instance with the given ones
+	// has lost; nil returns none.
+	Lacking func(known []*fleetpb.UpstreamWord) []*fleetpb.UpstreamWord
+	Log     *zap.Logger
 }
 
 // Follower keeps a stream to each control instance. It is safe for concurrent
@@ -65,32 +73,14 @@
 	mu     sync.Mutex
 	// sources holds the control instances by link address.
 	sources map[string]*source
+	// silent holds the IDs last passed to OnSilence.
+	silent map[string]bool
+	// view is the present list of processes, nil after a change.
+	view atomic.Pointer[View]
 	// self is the link address of this process, which is never dialled.
 	self string
 }
 
-// source is a control instance that is followed.
-type source struct {
-	address string
-	stream  *link.Stream
-	// peers is the last list that it sent, kept while it is disconnected.
-	peers     []*fleetpb.Peer
-	connected bool
-	// previousPeers is the list from before it last reconnected, at
-	// connectedAt.
-	previousPeers []*fleetpb.Peer
-	connectedAt   time.Time
-}
-
-// listed returns the processes that the control instance lists, including those
-// from before it reconnected while rejoinGracePeriod lasts.
-func (s *source) listed(now time.Time) []*fleetpb.Peer {
-	if now.Sub(s.connectedAt) < rejoinGracePeriod {
-		return slices.Concat(s.peers, s.previousPeers)
-	}
-	return s.peers
-}
-
 // NewFollower returns a Follower that connects to the seeds.
 func NewFollower(cfg FollowerConfig) *Follower {
 	f := &Follower{cfg: cfg, sources: make(map[string]*source), self: cfg.WatchRequest().GetSelf().GetLink()}
@@ -108,47 +98,28 @@
 		if a == f.self || f.sources[a] != nil || f.ctx.Err() != nil {
 			continue
 		}
-		s := &source{address: a}
+		s := newSource(a)
 		f.sources[a] = s
 		f.wg.Add(1)
 		go f.follow(s)
 	}
 }
 
-// Peers returns the processes of a role that any connected control instance
-// lists. If none is connected, it uses the last list of every instance.
-func (f *Follower) Peers(role string) []*fleetpb.Peer {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	out := make(map[string]*fleetpb.Peer)
-	if f.collect(out, role, true) == 0 {
-		f.collect(out, role, false)
-	}
-	list := make([]*fleetpb.Peer, 0, len(out))
-	for _, p := range out {
-		list = append(list, p)
-	}
-	return list
-}
+// Peers returns the processes of a role in the present View.
+func (f *Follower) Peers(role string) []*fleetpb.Peer { return f.View().Peers(role) }
 
-// collect adds the peers of a role to out, by name and with their latest
-// incarnation, and returns the number of control instances it read. With
-// connectedOnly it skips disconnected ones. The caller holds mu.
-func (f *Follower) collect(out map[string]*fleetpb.Peer, role string, connectedOnly bool) int {
-	sources, now := 0, time.Now()
-	for _, s := range f.sources {
-		if connectedOnly && !s.connected {
-			continue
-		}
-		sources++
-		for _, p := range s.listed(now) {
-			if p.Role != role || p.Incarnation < out[p.Name].GetIncarnation() {
-				continue
-			}
-			out[p.Name] = p
-		}
+// View returns the present list of processes. It returns the same View until
+// something changes.
+func (f *Follower) View() *View {
+	now := time.Now()
+	if v := f.view.Load(); v != nil && (v.validUntil.IsZero() || now.Before(v.validUntil)) {
+		return v
 	}
-	return sources
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := newView(f.sources, now)
+	f.view.Store(v)
+	return v
 }
 
 // ConnectedCount returns the number of connected control instances.
@@ -188,22 +159,26 @@
 // follow keeps a stream to s until the Follower is closed.
 func (f *Follower) follow(s *source) {
 	defer f.wg.Done()
+	delay := redialDelay
 	for f.ctx.Err() == nil {
 		err := f.runStream(f.ctx, s)
-		f.markDisconnected(s, err)
+		if f.markDisconnected(s, err) {
+			delay = redialDelay
+		}
 		select {
 		case <-f.ctx.Done():
-		case <-time.After(f.reconnectDelay(err)):
+		case <-time.After(f.reconnectDelay(err, delay)):
 		}
+		delay = min(2*delay, maxRedialDelay)
 	}
 }
 
 // reconnectDelay returns the delay before the next stream after one ended with
 // err.
-func (f *Follower) reconnectDelay(err error) time.Duration {
+func (f *Follower) reconnectDelay(err error, delay time.Duration) time.Duration {
 	switch {
 	case !errors.Is(err, errRelay):
-		return redialDelay
+		return delay/2 + rand.N(delay/2)
 	case f.ConnectedCount() == 0:
 		return relayFastPollInterval
 	default:
@@ -211,15 +186,44 @@
 	}
 }
 
-func (f *Follower) markDisconnected(s *source, err error) {
+// markDisconnected records the end of a stream with err, and reports whether the
+// control instance had been connected.
+func (f *Follower) markDisconnected(s *source, err error) bool {
 	f.mu.Lock()
 	wasConnected := s.connected
 	s.connected = false
 	s.stream = nil
+	f.view.Store(nil)
+	f.updateSilence()
 	f.mu.Unlock()
 	if wasConnected {
 		f.cfg.Log.Warn("control instance lost", zap.String("peer", s.address), zap.Error(err))
 	}
+	return wasConnected
+}
+
+// updateSilence passes on which upstreams no connected control instance hears, if
+// that has changed. Without a connected instance it stays as it is. The caller holds
+// mu.
+func (f *Follower) updateSilence() {
+	if f.cfg.OnSilence == nil {
+		return
+	}
+	var silent map[string]bool
+	for _, s := range f.sources {
+		switch {
+		case !s.connected:
+		case silent == nil:
+			silent = maps.Clone(s.silent)
+		default:
+			maps.DeleteFunc(silent, func(id string, _ bool) bool { return !s.silent[id] })
+		}
+	}
+	if silent == nil || maps.Equal(silent, f.silent) {
+		return
+	}
+	f.silent = silent
+	f.cfg.OnSilence(silent)
 }
 
 // runStream opens a stream to s and handles its News until it ends.
@@ -231,7 +235,7 @@
 	defer st.Close()
 	stop := context.AfterFunc(ctx, func() { st.Close() })
 	defer stop()
-	if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_Watch{Watch: f.cfg.WatchRequest()}}); err != nil {
+	if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_Watch{Watch: f.request(s)}}); err != nil {
 		return err
 	}
 	for {
@@ -247,27 +251,45 @@
 			f.Add(controlAddresses(n))
 			return errRelay
 		}
+		f.cfg.OnNews(n)
 		f.handleNews(s, st, n)
-		if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_NewsSeen{NewsSeen: &fleetpb.NewsSeen{Seq: n.Seq}}}); err != nil {
+		seen := &fleetpb.NewsSeen{Seq: n.Seq}
+		if n.Whole && f.cfg.Lacking != nil {
+			seen.Upstreams = f.cfg.Lacking(n.Upstreams)
+		}
+		if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_NewsSeen{NewsSeen: seen}}); err != nil {
 			return err
 		}
 	}
 }
 
+// request returns the message that opens a stream to s, with the last change seen.
+func (f *Follower) request(s *source) *fleetpb.Watch {
+	w := f.cfg.WatchRequest()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w.Incarnation, w.Seq = s.incarnation, s.seq
+	return w
+}
+
+// handleNews takes over the processes and the silent upstreams of a News.
 func (f *Follower) handleNews(s *source, st *link.Stream, n *fleetpb.News) {
 	f.mu.Lock()
-	if !s.connected {
-		f.cfg.Log.Info("control instance found", zap.String("peer", s.address))
-		s.previousPeers, s.connectedAt = s.peers, time.Now()
+	joined := !s.connected
+	if joined {
+		f.cfg.Log.Info("control instance found", zap.String("peer", s.address), zap.Bool("whole", n.Whole))
+		s.connectedAt, s.previousPeers = time.Now(), nil
+	}
+	s.connected, s.stream = true, st
+	s.apply(n)
+	if joined || len(n.Peers) > 0 || len(n.Gone) > 0 {
+		f.view.Store(nil)
 	}
-	s.connected = true
-	s.stream = st
-	if n.WholePeers {
-		s.peers = n.Peers
+	if joined || len(n.Upstreams) > 0 {
+		f.updateSilence()
 	}
 	f.mu.Unlock()
 	f.Add(controlAddresses(n))
-	f.cfg.OnNews(n)
 }
 
 // controlAddresses returns the link addresses of the control instances that a
--- a/internal/fleet/watch/hub.go
+++ b/internal/fleet/watch/hub.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sort"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,14 +15,22 @@
 )
 
 const (
-	// watcherQueueSize bounds the News messages queued for one watcher. A watcher
-	// that falls further behind is disconnected and must open a new stream.
-	watcherQueueSize = 256
-	// ackTimeout is how long a watcher may leave News unacknowledged.
-	ackTimeout = 1500 * time.Millisecond
-	// refreshInterval is the time between News messages that only report which
-	// upstreams are alive.
-	refreshInterval = 300 * time.Millisecond
+	// newsInterval is the shortest time between two News messages to a watcher.
+	// Changes in between share a message.
+	newsInterval = 20 * time.Millisecond
+	// probeInterval is the time after which an idle watcher is sent a News without
+	// changes, which it has to acknowledge.
+	probeInterval = 500 * time.Millisecond
+	// ackTimeout is how long a watcher may leave a short News unacknowledged. A long
+	// one may take longer by its transfer at minLinkBytes a second.
+	ackTimeout   = 1500 * time.Millisecond
+	minLinkBytes = 64 << 10
+	// heardInterval is the time between News messages that only tell other control
+	// instances which upstreams are alive.
+	heardInterval = 300 * time.Millisecond
+	// refreshInterval is the time between two looks for upstreams that have fallen
+	// silent and for watchers that do not respond.
+	refreshInterval = 100 * time.Millisecond
 )
 
 // HubConfig configures a Hub.
@@ -36,52 +44,40 @@
 	Log    *zap.Logger
 }
 
-// Hub pushes each change to its watchers. It is safe for concurrent use.
+// Hub tells its watchers of each change. It is safe for concurrent use.
 type Hub struct {
-	cfg          HubConfig
+	cfg HubConfig
+	// incarnation distinguishes the change numbers of this hub from those of an
+	// earlier one.
+	incarnation  uint64
 	mu           sync.Mutex
 	watchers     map[*watcher]bool
+	changes      *changes
 	siteDocument *statepb.Adopted
-	// refreshed holds the IDs of upstreams that announced themselves without a
-	// change since the last refresh.
-	refreshed map[string]bool
-	done      chan struct{}
-	wg        sync.WaitGroup
-}
-
-// watcher is the stream to one process.
-type watcher struct {
-	peer  *fleetpb.Peer
-	queue chan *fleetpb.News
-	// seq numbers the last News queued, acked the last one acknowledged.
-	seq   uint64
-	acked uint64
-	// unackedSince is the time since which News are unacknowledged, zero if none
-	// are.
-	unackedSince time.Time
-	// ackSignal is closed at the next acknowledgement and when the watcher is
-	// removed.
-	ackSignal   chan struct{}
-	queueClosed bool
-}
-
-// closeQueue makes Serve return after it has sent what is queued. The caller
-// holds the hub's mu.
-func (w *watcher) closeQueue() {
-	if !w.queueClosed {
-		w.queueClosed = true
-		close(w.queue)
-	}
+	// peers holds the listed processes by name: this instance, its watchers and the
+	// other voters.
+	peers map[string]*fleetpb.Peer
+	// departed holds when a name was removed from peers.
+	departed map[string]time.Time
+	done     chan struct{}
+	wg       sync.WaitGroup
 }
 
 // NewHub returns a Hub without watchers.
 func NewHub(cfg HubConfig) *Hub {
 	h := &Hub{
-		cfg:       cfg,
-		watchers:  make(map[*watcher]bool),
-		refreshed: make(map[string]bool),
-		done:      make(chan struct{}),
+		cfg:         cfg,
+		incarnation: uint64(time.Now().UnixNano()),
+		watchers:    make(map[*watcher]bool),
+		changes:     newChanges(),
+		peers:       make(map[string]*fleetpb.Peer),
+		departed:    make(map[string]time.Time),
+		done:        make(chan struct{}),
 	}
+	h.mu.Lock()
+	self := cfg.Self()
+	h.setPeer(self.GetName(), self)
+	h.mu.Unlock()
 	h.wg.Add(1)
 	go h.refreshLoop()
 	return h
@@ -96,25 +92,19 @@
 		return
 	}
 	h.siteDocument = a
-	h.publish(&fleetpb.News{Adopted: a})
+	h.publish(thing{kind: documentChange})
 }
 
 // Merge applies the upstreams in a News message of another control instance.
-// Those that it only reports as alive are not passed on: every process follows
-// that instance itself.
+// Those that it only reports as alive are not passed on: every control instance
+// follows that one itself.
 func (h *Hub) Merge(n *fleetpb.News) {
 	now := time.Now()
 	for _, u := range n.Upstreams {
 		h.merge(catalog.FromProto(u, now))
 	}
-	RefreshUpstreams(h.cfg.Table, n, now)
-}
-
-// RefreshUpstreams records in a table the upstreams that a News message, received
-// at now, reports as alive.
-func RefreshUpstreams(t *catalog.Table, n *fleetpb.News, now time.Time) {
 	for _, u := range n.Heard {
-		t.Refresh(u.Id, u.Seq, now.Add(-time.Duration(u.AgeMs)*time.Millisecond))
+		h.cfg.Table.Refresh(u.Id, u.Seq, now.Add(-time.Duration(u.AgeMs)*time.Millisecond))
 	}
 }
 
@@ -123,8 +113,12 @@
 // ctx is done.
 func (h *Hub) Announce(ctx context.Context, u catalog.Upstream) catalog.Outcome {
 	outcome := h.merge(u)
-	if outcome == catalog.Changed {
+	switch outcome {
+	case catalog.Changed:
 		h.waitAcked(ctx)
+	case catalog.Refreshed:
+		h.noteHeard(u.ID)
+	case catalog.Stale:
 	}
 	return outcome
 }
@@ -133,60 +127,63 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	outcome := h.cfg.Table.Merge(u)
-	switch outcome {
-	case catalog.Changed:
-		if merged, ok := h.cfg.Table.Get(u.ID); ok {
-			h.publish(&fleetpb.News{Upstreams: []*fleetpb.UpstreamWord{merged.Proto(time.Now())}})
-		}
-	case catalog.Refreshed:
-		h.refreshed[u.ID] = true
-	case catalog.Stale:
+	if outcome == catalog.Changed {
+		h.publish(thing{kind: upstreamChange, id: u.ID})
 	}
 	return outcome
 }
 
-// publish queues a News message for all watchers. The caller holds mu.
-func (h *Hub) publish(n *fleetpb.News) {
+// noteHeard records for the other control instances that an upstream is alive.
+func (h *Hub) noteHeard(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	for w := range h.watchers {
-		h.enqueue(w, n)
+		if w.peer.GetRole() == RoleControl {
+			if len(w.heard) == 0 {
+				w.wakeUp()
+			}
+			w.heard[id] = true
+		}
 	}
 }
 
-// enqueue numbers a News message and queues it for one watcher. It closes the
-// queue of a watcher that is too far behind. The caller holds mu.
-func (h *Hub) enqueue(w *watcher, n *fleetpb.News) {
-	if w.queueClosed {
-		return
-	}
-	if w.peer.GetRole() == RoleRelay {
-		// A relay needs only the list of processes.
-		if !n.WholePeers {
-			return
+// publish records a change and wakes the watchers that are told of it. The caller
+// holds mu.
+func (h *Hub) publish(t thing) {
+	h.changes.add(t)
+	for w := range h.watchers {
+		if w.wants(t) {
+			w.wakeUp()
 		}
-		n = &fleetpb.News{Peers: n.Peers, WholePeers: true}
 	}
-	w.seq++
-	if w.unackedSince.IsZero() {
-		w.unackedSince = time.Now()
-	}
-	numbered := &fleetpb.News{Seq: w.seq, Upstreams: n.Upstreams, Heard: n.Heard, Adopted: n.Adopted, Peers: n.Peers, WholePeers: n.WholePeers}
-	select {
-	case w.queue <- numbered:
-	default:
-		w.closeQueue()
+}
+
+// setPeer lists a process, or removes it from the list if p is nil. The caller holds
+// mu.
+func (h *Hub) setPeer(name string, p *fleetpb.Peer) {
+	if p == nil {
+		delete(h.peers, name)
+		h.departed[name] = time.Now()
+	} else {
+		h.peers[name] = p
+		delete(h.departed, name)
 	}
+	h.publish(thing{kind: peerChange, id: name})
 }
 
 // waitAcked returns once all watchers have acknowledged everything published
 // before the call, or ctx is done.
 func (h *Hub) waitAcked(ctx context.Context) {
 	h.mu.Lock()
-	target := make(map[*watcher]uint64, len(h.watchers))
+	seq := h.changes.last
+	waiting := make([]*watcher, 0, len(h.watchers))
 	for w := range h.watchers {
-		target[w] = w.seq
+		if w.acked < seq && w.peer.GetRole() != RoleRelay {
+			waiting = append(waiting, w)
+		}
 	}
 	h.mu.Unlock()
-	for w, seq := range target {
+	for _, w := range waiting {
 		h.waitWatcherAcked(ctx, w, seq)
 	}
 }
@@ -211,44 +208,122 @@
 	}
 }
 
-// Serve sends a watcher the whole known state and then each change, until its
-// stream ends or ctx is done. It merges the upstreams that the watcher knows
-// first, which restores them after all control processes were lost.
+// Serve tells a watcher what it lacks and then each change, until its stream ends
+// or ctx is done.
 func (h *Hub) Serve(ctx context.Context, st *link.Stream, first *fleetpb.Watch) {
-	h.Merge(&fleetpb.News{Upstreams: first.Upstreams})
 	w := h.addWatcher(first)
-	h.cfg.Log.Info("watcher joined", zap.String("watcher", w.peer.GetName()), zap.String("kind", w.peer.GetRole()))
+	h.cfg.Log.Info("watcher joined", zap.String("watcher", w.peer.GetName()), zap.String("kind", w.peer.GetRole()), zap.Bool("resumes", !w.whole))
 	stop := context.AfterFunc(ctx, func() { st.Close() })
 	defer stop()
 	h.wg.Add(1)
 	go h.receiveAcks(st, w)
-	for n := range w.queue {
-		if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_News{News: n}}); err != nil {
-			break
-		}
-	}
+	err := h.sendNews(st, w)
 	st.Close()
 	h.removeWatcher(w)
-	h.cfg.Log.Info("watcher left", zap.String("watcher", w.peer.GetName()), zap.Bool("behind", w.queueClosed))
+	h.cfg.Log.Info("watcher left", zap.String("watcher", w.peer.GetName()), zap.Error(err))
+}
+
+// sendNews sends News until the watcher is removed or the stream fails.
+func (h *Hub) sendNews(st *link.Stream, w *watcher) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		n, wait := h.nextNews(w, time.Now())
+		if n != nil {
+			if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_News{News: n}}); err != nil {
+				return err
+			}
+			continue
+		}
+		timer.Reset(wait)
+		select {
+		case <-w.removed:
+			return nil
+		case <-w.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+// nextNews returns the next News for a watcher, or nil and how long to wait for one
+// unless the watcher is woken before.
+func (h *Hub) nextNews(w *watcher, now time.Time) (*fleetpb.News, time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if w.outstanding {
+		return nil, probeInterval
+	}
+	if wait := newsInterval - now.Sub(w.sentAt); wait > 0 {
+		return nil, wait
+	}
+	things := h.changes.since(w.sent)
+	if idle := w.idleInterval() - now.Sub(w.sentAt); idle > 0 && !w.whole && !slices.ContainsFunc(things, w.wants) {
+		return nil, idle
+	}
+	n := &fleetpb.News{Seq: h.changes.last, Incarnation: h.incarnation, Whole: w.whole}
+	for _, t := range things {
+		if w.wants(t) {
+			h.describe(n, t, w, now)
+		}
+	}
+	h.describeHeard(n, w, now)
+	w.recordSent(n, now)
+	return n, 0
 }
 
-// addWatcher registers a watcher, queues the whole known state for it and
-// publishes the new list of processes.
+// describe adds the present state of a thing to a News for a watcher. The caller
+// holds mu.
+func (h *Hub) describe(n *fleetpb.News, t thing, w *watcher, now time.Time) {
+	switch t.kind {
+	case upstreamChange:
+		if u, ok := h.cfg.Table.Get(t.id); ok {
+			n.Upstreams = append(n.Upstreams, u.Proto(now))
+		}
+	case peerChange:
+		switch p := h.peers[t.id]; {
+		case p == nil:
+			n.Gone = append(n.Gone, t.id)
+		case w.peer.GetRole() != RoleRelay || p.Role == RoleControl:
+			n.Peers = append(n.Peers, p)
+		}
+	case documentChange:
+		if h.siteDocument.GetVersion() > w.docVersion {
+			n.Adopted, w.docVersion = h.siteDocument, h.siteDocument.GetVersion()
+		}
+	}
+}
+
+// describeHeard adds the upstreams that announced themselves without a change. The
+// caller holds mu.
+func (h *Hub) describeHeard(n *fleetpb.News, w *watcher, now time.Time) {
+	for id := range w.heard {
+		if u, ok := h.cfg.Table.Get(id); ok {
+			age := max(0, now.Sub(u.LastSeen).Milliseconds())
+			n.Heard = append(n.Heard, &fleetpb.Heard{Id: u.ID, Seq: u.Seq, AgeMs: uint32(age)})
+		}
+	}
+	clear(w.heard)
+}
+
+// addWatcher registers and lists a watcher. It starts from the changes that the
+// watcher has seen, or from the complete state if those are not known here.
 func (h *Hub) addWatcher(first *fleetpb.Watch) *watcher {
-	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	w := &watcher{peer: first.Self, queue: make(chan *fleetpb.News, watcherQueueSize), ackSignal: make(chan struct{})}
-	h.watchers[w] = true
-	all := &fleetpb.News{}
-	for _, u := range h.cfg.Table.All() {
-		all.Upstreams = append(all.Upstreams, u.Proto(now))
+	w := &watcher{
+		peer:       first.GetSelf(),
+		docVersion: first.GetVersion(),
+		whole:      true,
+		heard:      make(map[string]bool),
+		wake:       make(chan struct{}, 1),
+		ackSignal:  make(chan struct{}),
+		removed:    make(chan struct{}),
 	}
-	if h.siteDocument.GetVersion() > first.Version {
-		all.Adopted = h.siteDocument
+	if first.GetIncarnation() == h.incarnation && h.changes.holdsSince(first.GetSeq()) {
+		w.whole, w.sent, w.acked = false, first.GetSeq(), first.GetSeq()
 	}
-	h.enqueue(w, all)
-	h.publish(h.peerList())
+	h.watchers[w] = true
+	h.setPeer(w.peer.GetName(), w.peer)
 	return w
 }
 
@@ -258,34 +333,22 @@
 	h.removeWatcherLocked(w)
 }
 
-// removeWatcherLocked removes a watcher, ends its stream and publishes the new
-// list of processes. The caller holds mu.
+// removeWatcherLocked removes a watcher and ends its stream. Its process is no longer
+// listed, unless it has opened another stream meanwhile. The caller holds mu.
 func (h *Hub) removeWatcherLocked(w *watcher) {
 	if !h.watchers[w] {
 		return
 	}
 	delete(h.watchers, w)
-	close(w.ackSignal)
-	w.closeQueue()
-	h.publish(h.peerList())
-}
-
-// peerList returns a News message that lists this instance, its watchers and the
-// other control instances. The caller holds mu.
-func (h *Hub) peerList() *fleetpb.News {
-	n := &fleetpb.News{WholePeers: true, Peers: []*fleetpb.Peer{h.cfg.Self()}}
-	known := map[string]bool{n.Peers[0].Link: true}
-	for w := range h.watchers {
-		n.Peers = append(n.Peers, w.peer)
-		known[w.peer.GetLink()] = true
-	}
-	for _, address := range h.cfg.Voters() {
-		if !known[address] {
-			n.Peers = append(n.Peers, &fleetpb.Peer{Name: address, Role: RoleControl, Link: address})
+	close(w.removed)
+	w.signalAck()
+	name := w.peer.GetName()
+	for other := range h.watchers {
+		if other.peer.GetName() == name {
+			return
 		}
 	}
-	sort.Slice(n.Peers, func(i, j int) bool { return n.Peers[i].Name < n.Peers[j].Name })
-	return n
+	h.setPeer(name, nil)
 }
 
 // receiveAcks handles a watcher's acknowledgements until its stream ends.
@@ -302,8 +365,9 @@
 }
 
 // acknowledge applies an acknowledgement, which may carry a changed record of the
-// watcher.
+// watcher and upstreams that this instance has lost.
 func (h *Hub) acknowledge(w *watcher, ack *fleetpb.NewsSeen) {
+	h.Merge(&fleetpb.News{Upstreams: ack.GetUpstreams()})
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.watchers[w] {
@@ -311,20 +375,17 @@
 	}
 	if self := ack.GetSelf(); self != nil {
 		w.peer = self
-		h.publish(h.peerList())
-	}
-	if ack.GetSeq() > w.acked {
-		w.acked, w.unackedSince = ack.GetSeq(), time.Time{}
-		if w.acked < w.seq {
-			w.unackedSince = time.Now()
-		}
+		h.setPeer(self.GetName(), self)
+		return
 	}
-	close(w.ackSignal)
-	w.ackSignal = make(chan struct{})
+	w.acked = max(w.acked, min(ack.GetSeq(), w.sent))
+	w.outstanding = w.acked < w.sent
+	w.signalAck()
+	w.wakeUp()
 }
 
-// refreshLoop publishes at each refreshInterval which upstreams are alive, and
-// disconnects unresponsive watchers.
+// refreshLoop looks at each refreshInterval for upstreams that have fallen silent,
+// for changed voters and for unresponsive watchers.
 func (h *Hub) refreshLoop() {
 	defer h.wg.Done()
 	t := time.NewTicker(refreshInterval)
@@ -334,41 +395,73 @@
 		case <-h.done:
 			return
 		case now := <-t.C:
-			h.publishRefreshed(now)
-			h.dropUnresponsive(now)
+			h.refresh(now)
 		}
 	}
 }
 
-// publishRefreshed publishes which upstreams announced themselves without a
-// change since the last call.
-func (h *Hub) publishRefreshed(now time.Time) {
+func (h *Hub) refresh(now time.Time) {
+	voters := h.cfg.Voters()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	n := &fleetpb.News{}
-	for id := range h.refreshed {
-		if u, ok := h.cfg.Table.Get(id); ok {
-			age := max(0, now.Sub(u.LastSeen).Milliseconds())
-			n.Heard = append(n.Heard, &fleetpb.Heard{Id: u.ID, Seq: u.Seq, AgeMs: uint32(age)})
+	for _, id := range h.cfg.Table.UpdateSilence(now) {
+		h.publish(thing{kind: upstreamChange, id: id})
+	}
+	h.listVoters(voters)
+	for w := range h.watchers {
+		if w.unresponsive(now) {
+			h.cfg.Log.Warn("watcher silent, dropped", zap.String("watcher", w.peer.GetName()), zap.Uint64("seen", w.acked), zap.Uint64("told", w.sent))
+			h.removeWatcherLocked(w)
+		}
+	}
+	h.forgetDeparted(now)
+}
+
+// listVoters lists the voters that are not connected, and removes former ones. The
+// caller holds mu.
+func (h *Hub) listVoters(voters []string) {
+	for _, address := range voters {
+		if h.peers[address] == nil {
+			h.setPeer(address, &fleetpb.Peer{Name: address, Role: RoleControl, Link: address})
 		}
 	}
-	clear(h.refreshed)
-	if len(n.Heard) > 0 {
-		h.publish(n)
+	for name, p := range h.peers {
+		if p.GetIncarnation() == 0 && !slices.Contains(voters, name) && !h.watches(name) && name != h.cfg.Self().GetName() {
+			h.setPeer(name, nil)
+		}
 	}
 }
 
-// dropUnresponsive ends the streams of watchers that acknowledge nothing, such as
-// frozen processes: other processes must not consider them alive.
-func (h *Hub) dropUnresponsive(now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+// watches reports whether a process is a watcher. The caller holds mu.
+func (h *Hub) watches(name string) bool {
 	for w := range h.watchers {
-		if w.queueClosed || w.unackedSince.IsZero() || now.Sub(w.unackedSince) < ackTimeout {
-			continue
+		if w.peer.GetName() == name {
+			return true
+		}
+	}
+	return false
+}
+
+// departedRetention is how long the hub can tell a watcher that returns that a
+// process is gone; later it sends such a watcher the complete state.
+const departedRetention = time.Minute
+
+// forgetDeparted forgets processes that have been gone for long. The caller holds mu.
+func (h *Hub) forgetDeparted(now time.Time) {
+	for name, at := range h.departed {
+		if now.Sub(at) > departedRetention {
+			h.changes.forget(thing{kind: peerChange, id: name})
+			delete(h.departed, name)
 		}
-		h.cfg.Log.Warn("watcher silent, dropped", zap.String("watcher", w.peer.GetName()), zap.Uint64("seen", w.acked), zap.Uint64("told", w.seq))
-		h.removeWatcherLocked(w)
+	}
+}
+
+// ForgetUpstreams forgets upstreams that the table no longer holds.
+func (h *Hub) ForgetUpstreams(ids []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, id := range ids {
+		h.changes.forget(thing{kind: upstreamChange, id: id})
 	}
 }
 
@@ -384,7 +477,7 @@
 	close(h.done)
 	h.mu.Lock()
 	for w := range h.watchers {
-		w.closeQueue()
+		h.removeWatcherLocked(w)
 	}
 	h.mu.Unlock()
 	h.wg.Wait()
--- a/internal/fleet/watch/watch_test.go
+++ b/internal/fleet/watch/watch_test.go
@@ -70,6 +70,8 @@
 	// ackDelay delays the acknowledgement of News.
 	ackDelay time.Duration
 	version  uint64
+	// onNews is called with each News; nil ignores them.
+	onNews func(*fleetpb.News)
 }
 
 func newEntry(t *testing.T, name string, seeds ...string) *entry {
@@ -84,16 +86,19 @@
 		},
 		OnNews: func(n *fleetpb.News) {
 			e.mu.Lock()
-			delay := e.ackDelay
+			delay, onNews := e.ackDelay, e.onNews
 			e.version = max(e.version, n.Adopted.GetVersion())
 			e.mu.Unlock()
 			time.Sleep(delay)
+			if onNews != nil {
+				onNews(n)
+			}
 			for _, u := range n.Upstreams {
 				e.table.Merge(catalog.FromProto(u, time.Now()))
 			}
-			RefreshUpstreams(e.table, n, time.Now())
 		},
-		Log: zap.NewNop(),
+		OnSilence: func(ids map[string]bool) { e.table.SetSilent(ids, time.Now()) },
+		Log:       zap.NewNop(),
 	})
 	t.Cleanup(func() {
 		e.Close()
@@ -190,17 +195,20 @@
 func TestEntriesRestoreLostUpstreams(t *testing.T) {
 	c := newControlInstance(t)
 	pool := link.NewPool(link.PoolConfig{Auth: auth})
-	left := upstream("u", catalog.Left, 3)
+	known := catalog.New(catalog.Config{})
+	known.Merge(upstream("u", catalog.Left, 3))
 	f := NewFollower(FollowerConfig{
 		Pool: pool, Seeds: []string{c.server.Address()},
-		WatchRequest: func() *fleetpb.Watch {
-			return &fleetpb.Watch{Self: &fleetpb.Peer{Name: "e", Link: "e"}, Upstreams: []*fleetpb.UpstreamWord{left.Proto(time.Now())}}
+		WatchRequest: func() *fleetpb.Watch { return &fleetpb.Watch{Self: &fleetpb.Peer{Name: "e", Link: "e"}} },
+		OnNews:       func(*fleetpb.News) {},
+		Lacking: func(held []*fleetpb.UpstreamWord) []*fleetpb.UpstreamWord {
+			return known.Lacking(held, time.Now())
 		},
-		OnNews: func(*fleetpb.News) {}, Log: zap.NewNop(),
+		Log: zap.NewNop(),
 	})
 	defer pool.Close()
 	defer f.Close()
-	eventually(t, "connection of a watcher", func() bool { return c.hub.WatcherCount() == 1 })
+	eventually(t, "return of the lost upstream", func() bool { _, ok := c.table.Get("u"); return ok })
 	if got, want := c.hub.Announce(context.Background(), upstream("u", catalog.Ready, 2)), catalog.Stale; got != want {
 		t.Errorf("late announcement after a restart is %s, want %s", got, want)
 	}
@@ -255,19 +263,67 @@
 	}
 }
 
-// While an upstream does not change, its announcements still update LastSeen at
-// the watchers.
-func TestRefreshReachesWatchers(t *testing.T) {
+// An upstream is silent for the watchers once it has not announced itself for
+// silentAfter, and no longer once it is heard again. In between they are told nothing.
+func TestSilenceReachesWatchers(t *testing.T) {
 	c := newControlInstance(t)
 	e := newEntry(t, "e1", c.server.Address())
+	silent := func() bool {
+		u, _ := e.table.Get("u")
+		return u.Silent
+	}
 	c.hub.Announce(context.Background(), upstream("u", catalog.Ready, 1))
 	eventually(t, "propagation of the upstream", func() bool { return e.state("u") == catalog.Ready })
-	first, _ := e.table.Get("u")
+	if silent() {
+		t.Error("an upstream that has just been heard is silent")
+	}
+	eventually(t, "silence", silent)
 	c.hub.Announce(context.Background(), upstream("u", catalog.Ready, 2))
-	eventually(t, "propagation of the next announcement", func() bool {
-		u, _ := e.table.Get("u")
-		return u.Seq == 2 && u.LastSeen.After(first.LastSeen) && u.Service == "s"
-	})
+	eventually(t, "end of the silence", func() bool { return !silent() })
+}
+
+// An upstream that one control instance hears is not silent, whatever the others say.
+func TestOneControlInstanceEndsSilence(t *testing.T) {
+	a, b := newControlInstance(t), newControlInstance(t)
+	e := newEntry(t, "e1", a.server.Address(), b.server.Address())
+	a.hub.Announce(context.Background(), upstream("u", catalog.Ready, 1))
+	b.hub.Announce(context.Background(), upstream("u", catalog.Ready, 1))
+	for seq := uint64(2); seq < 30; seq++ {
+		b.hub.Announce(context.Background(), upstream("u", catalog.Ready, seq))
+		time.Sleep(100 * time.Millisecond)
+		if u, _ := e.table.Get("u"); u.Silent {
+			t.Fatalf("silent at announcement %d although one control instance hears it", seq)
+		}
+	}
+	if u, _ := a.table.Get("u"); !u.Silent {
+		t.Error("the other control instance does not count the upstream as silent")
+	}
+}
+
+// A watcher that returns to the same hub is told what it missed, and not the rest.
+func TestReturningWatcherGetsChangesOnly(t *testing.T) {
+	c := newControlInstance(t)
+	c.hub.Announce(context.Background(), upstream("old", catalog.Ready, 1))
+	missed := make(chan *fleetpb.News, 100)
+	e := newEntry(t, "e1", c.server.Address())
+	other := newEntry(t, "e2", c.server.Address())
+	eventually(t, "listing of both entries", func() bool { return len(e.Peers(RoleEntry)) == 2 && e.state("old") == catalog.Ready })
+	e.mu.Lock()
+	e.onNews = func(n *fleetpb.News) { missed <- n }
+	e.mu.Unlock()
+	e.Follower.mu.Lock()
+	st := e.sources[c.server.Address()].stream
+	e.Follower.mu.Unlock()
+	st.Close()
+	other.Close()
+	c.hub.merge(upstream("new", catalog.Ready, 1))
+	eventually(t, "news of the return", func() bool { return e.state("new") == catalog.Ready && len(e.Peers(RoleEntry)) == 1 })
+	for len(missed) > 0 {
+		n := <-missed
+		if n.Whole || len(n.Upstreams) > 0 && n.Upstreams[0].Id == "old" {
+			t.Errorf("the returning watcher was sent what it had: %v", n)
+		}
+	}
 }
 
 // When a control instance comes back, its watchers reconnect one by one. Those
--- /dev/null
+++ b/internal/fleet/watch/watcher.go
@@ -0,0 +1,80 @@
+package watch
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
+)
+
+// watcher is the stream to one process. It has at most one News outstanding: what
+// changes until the acknowledgement shares the next one. Its fields are guarded by
+// the hub's mu.
+type watcher struct {
+	peer *fleetpb.Peer
+	// docVersion is the version of the newest site document sent to the watcher or
+	// held by it.
+	docVersion uint64
+	// sent is the number of the last change sent, acked the last one acknowledged.
+	sent  uint64
+	acked uint64
+	// whole is set until the complete state has been sent.
+	whole bool
+	// outstanding is set while the last News, sent at sentAt, is unacknowledged. It
+	// has to be acknowledged at ackDue.
+	outstanding bool
+	sentAt      time.Time
+	ackDue      time.Time
+	// heard holds the IDs of upstreams that announced themselves without a change
+	// since the last News, for another control instance.
+	heard map[string]bool
+	// wake has capacity 1 and receives a value when there may be something to send.
+	wake chan struct{}
+	// ackSignal is closed at the next acknowledgement and when the watcher is
+	// removed.
+	ackSignal chan struct{}
+	// removed is closed when the watcher is removed.
+	removed chan struct{}
+}
+
+// wakeUp makes the sender look for something to send.
+func (w *watcher) wakeUp() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// signalAck wakes those who wait for an acknowledgement.
+func (w *watcher) signalAck() {
+	close(w.ackSignal)
+	w.ackSignal = make(chan struct{})
+}
+
+// wants reports whether a watcher of its role is told of a kind of change.
+func (w *watcher) wants(t thing) bool {
+	return w.peer.GetRole() != RoleRelay || t.kind == peerChange
+}
+
+// idleInterval returns how long after the last News the next one is due without a
+// change.
+func (w *watcher) idleInterval() time.Duration {
+	if len(w.heard) > 0 {
+		return heardInterval
+	}
+	return probeInterval
+}
+
+// recordSent records that a News is being sent at now.
+func (w *watcher) recordSent(n *fleetpb.News, now time.Time) {
+	transfer := time.Duration(proto.Size(n)) * time.Second / minLinkBytes
+	w.sent, w.whole, w.outstanding = n.Seq, false, true
+	w.sentAt, w.ackDue = now, now.Add(ackTimeout+transfer)
+}
+
+// unresponsive reports whether the watcher has not acknowledged the last News in
+// time.
+func (w *watcher) unresponsive(now time.Time) bool {
+	return w.outstanding && now.After(w.ackDue)
+}
--- a/internal/serve/balance/balancer.go
+++ b/internal/serve/balance/balancer.go
@@ -124,14 +124,14 @@
 }
 
 // eligible returns the available candidates that aren't excluded. If there are
-// none, it returns those that are unresponsive or in a cooldown.
+// none, it returns those that are silent or in a cooldown.
 func (b *Balancer) eligible(now time.Time, info PickInfo, candidates []catalog.Upstream) []catalog.Upstream {
 	var out, fallback []catalog.Upstream
 	for _, u := range candidates {
 		if slices.Contains(info.Exclude, u.ID) {
 			continue
 		}
-		if u.Unresponsive(now) || now.Before(b.state(u.ID).cooldownEnds) {
+		if u.Silent || now.Before(b.state(u.ID).cooldownEnds) {
 			fallback = append(fallback, u)
 			continue
 		}
--- a/internal/serve/balance/balancer_test.go
+++ b/internal/serve/balance/balancer_test.go
@@ -37,7 +37,7 @@
 
 func TestUnavailableUpstreamsAreAvoided(t *testing.T) {
 	from := upstreams(4)
-	from[0].LastSeen = t0.Add(-4400 * time.Millisecond)
+	from[0].Silent = true
 	b := newBalancer(1)
 	b.Done(t0, "u1", DoneInfo{Unreachable: true})
 	b.Done(t0, "u2", DoneInfo{Full: true})
