dispatch/batcher, api/gateway: an owner of batches in each zone where upstreams are many

Change: a service that has six upstreams or more in each availability zone on average is batched by zone, with an owner in that zone. The zone of a request is chosen once, by its prompt's prefix, and holds for its stages and its engine.

Deployments with five servers a zone or fewer are unchanged.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -219,10 +220,11 @@
 }
 
 // batchOwnerAddresses returns the link addresses of the entries that may own the
-// batching of a service. Entries that share an instance with a control process are
-// excluded as long as there are others, so that the loss of one instance does not
-// take both an owner and a control process. The caller must not modify the slice.
-func (g *gatewayProcess) batchOwnerAddresses() []string {
+// batching of a service, those in an availability zone if there are any; an empty zone
+// stands for all. Entries that share an instance with a control process are excluded as
+// long as there are others, so that the loss of one instance does not take both an
+// owner and a control process. The caller must not modify the slice.
+func (g *gatewayProcess) batchOwnerAddresses(zone string) []string {
 	f := g.follower.Load()
 	if f == nil {
 		return nil
@@ -230,37 +232,39 @@
 	view := f.View()
 	cached := g.batchOwners.Load()
 	if cached == nil || cached.view != view {
-		cached = &batchOwners{view: view, addresses: findBatchOwners(view)}
+		cached = newBatchOwners(view)
 		g.batchOwners.Store(cached)
 	}
-	return cached.addresses
+	if addresses := cached.byZone[zone]; len(addresses) > 0 {
+		return addresses
+	}
+	return cached.all
 }
 
-// batchOwners are the batch owners in a list of processes.
+// batchOwners are the addresses of the entries of a list of processes that may own the
+// batching of a service.
 type batchOwners struct {
-	view      *watch.View
-	addresses []string
+	view   *watch.View
+	all    []string
+	byZone map[string][]string
 }
 
-func findBatchOwners(view *watch.View) []string {
+func newBatchOwners(view *watch.View) *batchOwners {
 	controlHosts := make(map[string]bool)
 	for _, p := range view.Peers(watch.RoleControl) {
 		controlHosts[hostOf(p.Link)] = true
 	}
-	var all, separate []string
-	for _, p := range view.Peers(watch.RoleEntry) {
-		if p.Leaving {
-			continue
-		}
-		all = append(all, p.Link)
-		if !controlHosts[hostOf(p.Link)] {
-			separate = append(separate, p.Link)
-		}
+	staying := slices.DeleteFunc(slices.Clone(view.Peers(watch.RoleEntry)), func(p *fleetpb.Peer) bool { return p.Leaving })
+	separate := slices.DeleteFunc(slices.Clone(staying), func(p *fleetpb.Peer) bool { return controlHosts[hostOf(p.Link)] })
+	if len(separate) == 0 {
+		separate = staying
 	}
-	if len(separate) > 0 {
-		return separate
+	owners := &batchOwners{view: view, byZone: make(map[string][]string)}
+	for _, p := range separate {
+		owners.all = append(owners.all, p.Link)
+		owners.byZone[p.Zone] = append(owners.byZone[p.Zone], p.Link)
 	}
-	return all
+	return owners
 }
 
 func hostOf(address string) string {
--- a/internal/api/gateway/admission.go
+++ b/internal/api/gateway/admission.go
@@ -96,7 +96,7 @@
 		}
 	}
 	if callTime := q.expectedCallTime(stage); callTime > 0 {
-		wait, totalWait := q.server.cfg.QueueWait(q.route.Stages[stage].Service, q.rank)
+		wait, totalWait := q.server.cfg.QueueWait(q.route.Stages[stage].Service, q.stageZone(), q.rank)
 		longest.work += callTime
 		longest.wait += wait
 		longest.totalWait += totalWait
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -34,7 +34,9 @@
 	rank     site.Rank
 
 	service *site.Service
-	stages  []stageState
+	// zone caches the result of stageZone.
+	zone   string
+	stages []stageState
 	// reruns is how often stages were run again because results had expired.
 	reruns int
 	// stagesTook is the time from start until all stages were complete.
@@ -192,7 +194,7 @@
 func (q *request) pickUpstream() (catalog.Upstream, bool) {
 	info := balance.PickInfo{Exclude: q.tried, Prefix: q.sharedPrefix()}
 	if len(q.route.Stages) > 0 {
-		info.Zone = q.preferredZone(q.route.Stages[0].Service)
+		info.Zone = q.stageZone()
 	}
 	return q.server.cfg.Balancer.Pick(time.Now(), info, q.server.cfg.Upstreams(q.service.Name))
 }
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -38,10 +38,10 @@
 	Upstreams func(service string) []catalog.Upstream
 	// RunStage runs the pieces of one stage of a request.
 	RunStage func(ctx context.Context, job batcher.Job) batcher.Result
-	// QueueWait returns the expected queue wait of new work for a service: of
-	// work of the given rank that can meet its latency objective, and of work
-	// that is queued behind all other.
-	QueueWait func(service string, rank site.Rank) (onTime, total time.Duration)
+	// QueueWait returns the expected queue wait of new work for a service that prefers
+	// an availability zone: of work of the given rank that can meet its latency
+	// objective, and of work that is queued behind all other.
+	QueueWait func(service, zone string, rank site.Rank) (onTime, total time.Duration)
 	// ResultZone returns the availability zone of the upstream that holds a
 	// result, empty if it is not known.
 	ResultZone func(handle string) string
--- a/internal/api/gateway/stages.go
+++ b/internal/api/gateway/stages.go
@@ -158,7 +158,7 @@
 	}
 	if len(job.Inputs) == 0 {
 		job.Key = r.PieceKey
-		job.Zone = r.preferredZone(stage.Service)
+		job.Zone = r.stageZone()
 		return job, true
 	}
 	job.Zone = r.majorityZone(job.Inputs)
@@ -227,7 +227,7 @@
 	if callTime == 0 {
 		return 0
 	}
-	wait, _ := q.server.cfg.QueueWait(q.route.Stages[stage].Service, q.rank)
+	wait, _ := q.server.cfg.QueueWait(q.route.Stages[stage].Service, q.stageZone(), q.rank)
 	return wait + callTime
 }
 
--- a/internal/dispatch/batcher/batcher_test.go
+++ b/internal/dispatch/batcher/batcher_test.go
@@ -199,9 +199,9 @@
 		eventually(t, "the call", func() bool { calls, _ := u.recorded(); return len(calls) == 1 })
 	}
 	eventually(t, "the queue", func() bool {
-		o.dispatchers["scan"].mu.Lock()
-		defer o.dispatchers["scan"].mu.Unlock()
-		return o.dispatchers["scan"].queue.Waiting() == 6
+		o.dispatchers[shard{service: "scan"}].mu.Lock()
+		defer o.dispatchers[shard{service: "scan"}].mu.Unlock()
+		return o.dispatchers[shard{service: "scan"}].queue.Waiting() == 6
 	})
 	close(u.hold)
 	for range 4 {
@@ -312,7 +312,7 @@
 	if calls, _ := u.recorded(); len(calls) != 1 {
 		t.Fatalf("%d calls although there is no memory for results, want 1", len(calls))
 	}
-	o.release("scan", first.Handles[:2])
+	o.release(shard{service: "scan"}, first.Handles[:2])
 	checkCompleted(t, <-second, "s", 2)
 }
 
@@ -354,7 +354,7 @@
 
 func newRouter(t *testing.T, own *Owner, self string, owners func() []string) *Router {
 	pool := link.NewPool(link.PoolConfig{Auth: link.Auth{Key: []byte("a key for the tests")}})
-	r := NewRouter(RouterConfig{Owner: own, Pool: pool, Self: self, Owners: owners, Log: zap.NewNop()})
+	r := NewRouter(RouterConfig{Owner: own, Pool: pool, Self: self, Owners: func(string) []string { return owners() }, Log: zap.NewNop()})
 	t.Cleanup(func() {
 		r.Close()
 		pool.Close()
@@ -392,7 +392,7 @@
 	self := "self"
 	for i := 0; ; i++ {
 		self = fmt.Sprint("self", i)
-		if first, _ := ownerOf("scan", []string{address, self}, nil); first == address {
+		if first, _ := ownerOf(shard{service: "scan"}, []string{address, self}, nil); first == address {
 			break
 		}
 	}
@@ -406,12 +406,12 @@
 }
 
 func TestOwnerIsIndependentOfAddressOrder(t *testing.T) {
-	a, _ := ownerOf("scan", []string{"1", "2", "3"}, nil)
-	b, _ := ownerOf("scan", []string{"3", "1", "2"}, nil)
+	a, _ := ownerOf(shard{service: "scan"}, []string{"1", "2", "3"}, nil)
+	b, _ := ownerOf(shard{service: "scan"}, []string{"3", "1", "2"}, nil)
 	if a != b {
 		t.Errorf("owners are %s and %s, want the same", a, b)
 	}
-	if next, _ := ownerOf("scan", []string{"1", "2", "3"}, map[string]bool{a: true}); next == a {
+	if next, _ := ownerOf(shard{service: "scan"}, []string{"1", "2", "3"}, map[string]bool{a: true}); next == a {
 		t.Errorf("excluded owner %s was returned", next)
 	}
 }
--- a/internal/dispatch/batcher/call.go
+++ b/internal/dispatch/batcher/call.go
@@ -53,7 +53,7 @@
 	}
 	released := d.finishCall(u, batch, outputs, err, float64(took)/float64(expected))
 	d.mu.Unlock()
-	d.owner.release(d.service, released)
+	d.owner.release(d.shard, released)
 }
 
 // roundTrip sends a batch and reads the whole answer.
@@ -150,7 +150,7 @@
 // Only calls that may have run count as failures of their jobs.
 func (d *dispatcher) recordFailure(now time.Time, u catalog.Upstream, s *upstreamState, batch []batching.Piece, failed *callError) {
 	d.owner.cfg.Log.Warn("call with pieces failed",
-		zap.String("service", d.service), zap.String("upstream", u.ID), zap.Int("pieces", len(batch)),
+		zap.String("service", d.shard.key()), zap.String("upstream", u.ID), zap.Int("pieces", len(batch)),
 		zap.String("request", batch[0].Job.RequestID), zap.Error(failed.err))
 	s.backoffUntil = now.Add(failureBackoff)
 	if failed.noCapacity {
@@ -232,7 +232,7 @@
 }
 
 // release releases results at the upstreams that hold them.
-func (o *Owner) release(service string, handles []string) {
+func (o *Owner) release(s shard, handles []string) {
 	if len(handles) == 0 {
 		return
 	}
@@ -241,13 +241,13 @@
 		address := o.cfg.Codec.HolderAddress(h)
 		byAddress[address] = append(byAddress[address], h)
 	}
-	for _, u := range o.cfg.Upstreams(service) {
+	for _, u := range o.cfg.Upstreams(s.service) {
 		if held := byAddress[u.Address]; len(held) > 0 && o.ctx.Err() == nil {
 			o.wg.Add(1)
 			go func() {
 				defer o.wg.Done()
 				o.sendRelease(transport.Target{ID: u.ID, Address: u.Address}, held)
-				o.recordRelease(service, u.ID, held)
+				o.recordRelease(s, u.ID, held)
 			}()
 		}
 	}
@@ -255,8 +255,8 @@
 
 // recordRelease accounts for the memory that an upstream has regained, and dispatches
 // pieces that waited for it.
-func (o *Owner) recordRelease(service, id string, handles []string) {
-	d, ok := o.dispatcher(service)
+func (o *Owner) recordRelease(s shard, id string, handles []string) {
+	d, ok := o.dispatcher(s)
 	if !ok {
 		return
 	}
--- a/internal/dispatch/batcher/doc.go
+++ b/internal/dispatch/batcher/doc.go
@@ -6,7 +6,8 @@
 // are released, or expire at the upstream.
 //
 // Each service that runs pieces has one owner among the entries, the processes
-// that accept client requests. The owner queues the pieces of all entries and
+// that accept client requests, or one in each availability zone if the zones have
+// enough upstreams of it. The owner queues the pieces of all entries and
 // fills whole batches from that queue; package batching decides what goes into a
 // batch. A Router finds the owner by rendezvous hashing over the live entries and
 // keeps one stream to each owner. When an owner is lost, its jobs are sent again
--- a/internal/dispatch/batcher/job.go
+++ b/internal/dispatch/batcher/job.go
@@ -28,6 +28,8 @@
 	// Zone is the preferred availability zone of the upstream, empty for no
 	// preference.
 	Zone string
+	// shardZone is the zone of the shard that runs the job, see shard.
+	shardZone string
 	// ResultBytes is the size of the result of one piece.
 	ResultBytes int64
 	// InputBytes is the total size of all inputs.
--- a/internal/dispatch/batcher/owner.go
+++ b/internal/dispatch/batcher/owner.go
@@ -50,15 +50,15 @@
 	ctx         context.Context
 	cancel      context.CancelFunc
 	mu          sync.Mutex
-	dispatchers map[string]*dispatcher
+	dispatchers map[shard]*dispatcher
 	wg          sync.WaitGroup
 }
 
-// dispatcher holds the queue and the upstreams of one service, and dispatches
+// dispatcher holds the queue and the upstreams of one shard, and dispatches
 // queued pieces in batches.
 type dispatcher struct {
 	owner     *Owner
-	service   string
+	shard     shard
 	mu        sync.Mutex
 	queue     *batching.Queue
 	waiters   map[*batching.Job]*waiter
@@ -94,31 +94,31 @@
 
 // NewOwner returns an Owner without jobs.
 func NewOwner(cfg Config) *Owner {
-	o := &Owner{cfg: cfg, dispatchers: make(map[string]*dispatcher)}
+	o := &Owner{cfg: cfg, dispatchers: make(map[shard]*dispatcher)}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
 	return o
 }
 
-// dispatcher returns the dispatcher of a service with its current configuration,
-// or false if the service has no batching configuration.
-func (o *Owner) dispatcher(service string) (*dispatcher, bool) {
-	config, ok := o.cfg.Service(service)
+// dispatcher returns the dispatcher of a shard with its service's current
+// configuration, or false if the service has no batching configuration.
+func (o *Owner) dispatcher(s shard) (*dispatcher, bool) {
+	config, ok := o.cfg.Service(s.service)
 	if !ok || config.Batching == nil {
 		return nil, false
 	}
 	cfg := batching.ConfigOf(config.Batching)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	d := o.dispatchers[service]
+	d := o.dispatchers[s]
 	if d == nil {
 		d = &dispatcher{
 			owner:     o,
-			service:   service,
+			shard:     s,
 			queue:     batching.NewQueue(cfg),
 			waiters:   make(map[*batching.Job]*waiter),
 			upstreams: make(map[string]*upstreamState),
 		}
-		o.dispatchers[service] = d
+		o.dispatchers[s] = d
 	}
 	d.mu.Lock()
 	d.queue.Configure(cfg)
@@ -130,7 +130,7 @@
 
 // Do runs a job. It returns at the latest when ctx is done.
 func (o *Owner) Do(ctx context.Context, job Job) Result {
-	d, ok := o.dispatcher(job.Service)
+	d, ok := o.dispatcher(job.shard())
 	if !ok {
 		return Failed{Err: &UnknownServiceError{Service: job.Service}}
 	}
@@ -159,7 +159,7 @@
 	case r := <-w.done:
 		return r
 	case <-ctx.Done():
-		o.release(job.Service, d.cancel(queued))
+		o.release(job.shard(), d.cancel(queued))
 		return Failed{Err: ctx.Err()}
 	}
 }
@@ -181,7 +181,7 @@
 	capacity := d.capacity(now)
 	if retry, ok := d.queue.Admit(now, j, capacity); !ok {
 		d.owner.cfg.Log.Info("pieces refused",
-			zap.String("request", j.RequestID), zap.String("service", d.service), zap.Int("stage", j.Stage),
+			zap.String("request", j.RequestID), zap.String("service", d.shard.key()), zap.Int("stage", j.Stage),
 			zap.Int("waiting", d.queue.Waiting()), zap.Float64("upstreams", math.Round(10*capacity)/10), zap.Duration("retry", retry))
 		return nil, &Refused{RetryAfter: retry, Backlog: d.queue.Backlog(now, capacity)}
 	}
@@ -204,7 +204,7 @@
 // usable returns the upstreams that are neither silent nor in backoff, or
 // all upstreams if none qualifies.
 func (d *dispatcher) usable(now time.Time) []catalog.Upstream {
-	all := d.owner.cfg.Upstreams(d.service)
+	all := d.shard.includes(d.owner.cfg.Upstreams(d.shard.service))
 	var out []catalog.Upstream
 	for _, u := range all {
 		if !u.Silent && !now.Before(d.upstream(u.ID).backoffUntil) {
@@ -310,11 +310,11 @@
 	backlog := d.queue.Backlog(now, capacity)
 	for _, j := range infeasible {
 		d.owner.cfg.Log.Info("queued job refused: deadline can no longer be met",
-			zap.String("request", j.RequestID), zap.String("service", d.service), zap.Int("stage", j.Stage), zap.Int("rank", int(j.Rank)),
+			zap.String("request", j.RequestID), zap.String("service", d.shard.key()), zap.Int("stage", j.Stage), zap.Int("rank", int(j.Rank)),
 			zap.Duration("waited", now.Sub(j.Arrived)), zap.Duration("left", j.Deadline.Sub(now)), zap.Duration("backlog", backlog.For(j.Rank)), zap.Duration("backlog_last", backlog.Total))
 		completed := j.Completed()
 		d.complete(j, Refused{RetryAfter: backlog.Total, Backlog: backlog})
-		d.owner.release(d.service, completed)
+		d.owner.release(d.shard, completed)
 	}
 }
 
--- a/internal/dispatch/batcher/remote.go
+++ b/internal/dispatch/batcher/remote.go
@@ -39,6 +39,7 @@
 
 		ResultBytes: j.ResultBytes,
 		InputBytes:  j.InputBytes,
+		Shard:       j.shardZone,
 	}
 }
 
@@ -58,6 +59,7 @@
 
 		ResultBytes: m.ResultBytes,
 		InputBytes:  m.InputBytes,
+		shardZone:   m.Shard,
 	}
 }
 
@@ -152,7 +154,7 @@
 		}
 		s.mu.Unlock()
 	case *fleetpb.Envelope_PieceRelease:
-		s.owner.release(body.PieceRelease.Service, body.PieceRelease.Handles)
+		s.owner.release(shard{service: body.PieceRelease.Service, zone: body.PieceRelease.Shard}, body.PieceRelease.Handles)
 	}
 }
 
@@ -174,7 +176,7 @@
 		if err := s.stream.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_PieceResult{PieceResult: pieceResult(m.Id, r)}}); err != nil {
 			s.owner.cfg.Log.Debug("job result not delivered", zap.String("request", m.Request), zap.Error(err))
 			if completed, ok := r.(Completed); ok {
-				s.owner.release(m.Service, completed.Handles)
+				s.owner.release(job.shard(), completed.Handles)
 			}
 		}
 	}()
--- a/internal/dispatch/batcher/router.go
+++ b/internal/dispatch/batcher/router.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/serve/batching"
 	"hawthornhub.example/hawthornhub/internal/serve/rendezvous"
@@ -25,9 +27,10 @@
 	Pool  *link.Pool
 	// Self is this process's link address.
 	Self string
-	// Owners returns the link addresses of the entries that may own services. This
+	// Owners returns the link addresses of the entries that may own services, those
+	// in an availability zone if there are any; an empty zone stands for all. This
 	// process may be one of them.
-	Owners func() []string
+	Owners func(zone string) []string
 	Log    *zap.Logger
 }
 
@@ -41,8 +44,8 @@
 	remotes map[string]*remoteOwner
 	// lostUntil is the end of the backoff from each lost owner, by address.
 	lostUntil map[string]time.Time
-	// backlogs are the last reported backlogs by service.
-	backlogs map[string]reportedBacklog
+	// backlogs are the last reported backlogs.
+	backlogs map[shard]reportedBacklog
 	wg       sync.WaitGroup
 }
 
@@ -58,21 +61,19 @@
 
 // NewRouter returns a Router without streams.
 func NewRouter(cfg RouterConfig) *Router {
-	r := &Router{cfg: cfg, remotes: make(map[string]*remoteOwner), lostUntil: make(map[string]time.Time), backlogs: make(map[string]reportedBacklog)}
+	r := &Router{cfg: cfg, remotes: make(map[string]*remoteOwner), lostUntil: make(map[string]time.Time), backlogs: make(map[shard]reportedBacklog)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
 }
 
-// ownerOf returns the address of a service's owner among addresses without those
+// ownerOf returns the address of a shard's owner among addresses without those
 // in excluded.
-func ownerOf(service string, addresses []string, excluded map[string]bool) (string, bool) {
-	var candidates []string
-	for _, a := range addresses {
-		if !excluded[a] {
-			candidates = append(candidates, a)
-		}
+func ownerOf(s shard, addresses []string, excluded map[string]bool) (string, bool) {
+	candidates := addresses
+	if len(excluded) > 0 {
+		candidates = slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return excluded[a] })
 	}
-	return rendezvous.Best(service, candidates, func(a string) string { return a })
+	return rendezvous.Best(s.key(), candidates, func(a string) string { return a })
 }
 
 // errOwnerLost reports that the stream to an owner ended before a job did.
@@ -81,29 +82,35 @@
 // Do runs a job at the owner of its service, or at the next owner if that one is
 // lost.
 func (r *Router) Do(ctx context.Context, job Job) Result {
+	job.shardZone = shardOf(job, r.upstreams(job.Service)).zone
 	result := r.route(ctx, job)
 	switch result := result.(type) {
 	case Completed:
-		r.recordBacklog(job.Service, result.Backlog)
+		r.recordBacklog(job.shard(), result.Backlog)
 	case Refused:
-		r.recordBacklog(job.Service, result.Backlog)
+		r.recordBacklog(job.shard(), result.Backlog)
 	}
 	return result
 }
 
-func (r *Router) recordBacklog(service string, waits batching.Backlog) {
+func (r *Router) upstreams(service string) []catalog.Upstream {
+	return r.cfg.Owner.cfg.Upstreams(service)
+}
+
+func (r *Router) recordBacklog(s shard, waits batching.Backlog) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.backlogs[service] = reportedBacklog{waits: waits, at: time.Now()}
+	r.backlogs[s] = reportedBacklog{waits: waits, at: time.Now()}
 }
 
-// QueueWait returns how long a new job for a service is expected to wait: onTime
-// if it has the given rank and can meet its objective, total if it is queued
-// behind all others.
-func (r *Router) QueueWait(service string, rank site.Rank) (onTime, total time.Duration) {
+// QueueWait returns how long a new job for a service that prefers a zone is expected
+// to wait: onTime if it has the given rank and can meet its objective, total if it is
+// queued behind all others.
+func (r *Router) QueueWait(service, zone string, rank site.Rank) (onTime, total time.Duration) {
+	s := shardOf(Job{Service: service, Zone: zone}, r.upstreams(service))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := r.backlogs[service]
+	b := r.backlogs[s]
 	weight := max(0, 1-time.Since(b.at).Seconds()/backlogLifetime.Seconds())
 	decayed := func(wait time.Duration) time.Duration { return time.Duration(float64(wait) * weight) }
 	return decayed(b.waits.For(rank)), decayed(b.waits.Total)
@@ -112,7 +119,7 @@
 func (r *Router) route(ctx context.Context, job Job) Result {
 	start := time.Now()
 	for {
-		address, ok := r.owner(job.Service)
+		address, ok := r.owner(job.shard())
 		if !ok || address == r.cfg.Self {
 			return r.cfg.Owner.Do(ctx, job.WithElapsed(time.Since(start)))
 		}
@@ -129,9 +136,9 @@
 	}
 }
 
-// owner returns the owner of a service among the entries that were not lost
+// owner returns the owner of a shard among the entries that were not lost
 // recently.
-func (r *Router) owner(service string) (string, bool) {
+func (r *Router) owner(s shard) (string, bool) {
 	now := time.Now()
 	excluded := make(map[string]bool)
 	r.mu.Lock()
@@ -143,7 +150,7 @@
 		excluded[address] = true
 	}
 	r.mu.Unlock()
-	return ownerOf(service, r.cfg.Owners(), excluded)
+	return ownerOf(s, r.cfg.Owners(s.zone), excluded)
 }
 
 // markLost starts the backoff from a lost owner.
@@ -202,24 +209,51 @@
 	return o, nil
 }
 
-// Release releases results through the owner of their service, which accounts for
+// Release releases results through the owners of their shards, which account for
 // the memory that they use.
 func (r *Router) Release(service string, handles []string) {
-	if len(handles) == 0 {
-		return
+	for s, held := range r.byShard(service, handles) {
+		r.releaseShard(s, held)
 	}
-	address, ok := r.owner(service)
+}
+
+// byShard sorts results by the shard of the upstream that holds them. It leaves out
+// those of upstreams that are gone, if the service is split.
+func (r *Router) byShard(service string, handles []string) map[shard][]string {
+	out := make(map[shard][]string)
+	upstreams := r.upstreams(service)
+	if len(zonesToSplit(upstreams)) == 0 {
+		if len(handles) > 0 {
+			out[shard{service: service}] = handles
+		}
+		return out
+	}
+	zones := make(map[string]string, len(upstreams))
+	for _, u := range upstreams {
+		zones[u.Address] = u.Zone
+	}
+	for _, h := range handles {
+		if zone, ok := zones[r.cfg.Owner.cfg.Codec.HolderAddress(h)]; ok {
+			s := shard{service: service, zone: zone}
+			out[s] = append(out[s], h)
+		}
+	}
+	return out
+}
+
+func (r *Router) releaseShard(s shard, handles []string) {
+	address, ok := r.owner(s)
 	if !ok || address == r.cfg.Self {
-		r.cfg.Owner.release(service, handles)
+		r.cfg.Owner.release(s, handles)
 		return
 	}
 	o, err := r.connect(address)
 	if err == nil {
-		err = o.send(&fleetpb.Envelope{Body: &fleetpb.Envelope_PieceRelease{PieceRelease: &fleetpb.PieceRelease{Service: service, Handles: handles}}})
+		err = o.send(&fleetpb.Envelope{Body: &fleetpb.Envelope_PieceRelease{PieceRelease: &fleetpb.PieceRelease{Service: s.service, Handles: handles, Shard: s.zone}}})
 	}
 	if err != nil {
 		r.cfg.Log.Debug("owner not reachable; releasing results directly", zap.String("owner", address), zap.Error(err))
-		r.cfg.Owner.release(service, handles)
+		r.cfg.Owner.release(s, handles)
 	}
 }
 
--- a/internal/dispatch/batcher/slowness_test.go
+++ b/internal/dispatch/batcher/slowness_test.go
@@ -35,7 +35,7 @@
 func TestAllSlowUpstreamsAreUsed(t *testing.T) {
 	o := newOwner(t, 1<<40, newFakeUpstream(t))
 	checkCompleted(t, o.Do(context.Background(), newJob("first", 1)), "first", 1)
-	d := o.dispatchers["scan"]
+	d := o.dispatchers[shard{service: "scan"}]
 	d.mu.Lock()
 	d.upstream("u0").slowness.observeTimeout(time.Now(), 500)
 	d.mu.Unlock()
