serve/once, fleet/control: a call waits for the document that its claim was checked against

Cause: the ledger checks a claim against its own newest document. The entry that made the claim may still hold the one before, and agents judge a call by the document under which it comes: after the release of a stopped service both agents refused the call ("the service is stopped"), so the claim ended as not run and the caller got upstream_failed. Not the suspected agent with an old document: the failing call took 70 ms, and agents wait 300 ms for a newer one.

Change: the answer of the ledger names the document; the call is not sent before that has arrived here. TestCallWaitsForDocumentOfItsClaim failed before (the call ran after 0 waits).

Found by reading, each with a test that failed first: a rebind that finds its claim resolved returned neither claim nor error and the entry panicked (TestRebindOfResolvedClaimReturnsItsOutcome); the wanted document index could fall when two connections recorded one at once (TestWantedIndexNeverFalls: passed before too, the window is a few instructions).

--- a/internal/fleet/control/follower.go
+++ b/internal/fleet/control/follower.go
@@ -154,13 +154,25 @@
 // ObserveDocument records a document index seen on a message. A document newer
 // than the current one is fetched at once.
 func (f *Follower) ObserveDocument(index uint64) {
-	if index <= f.Document().Index || index <= f.wantedIndex.Load() {
+	if index <= f.Document().Index || !f.raiseWanted(index) {
 		return
 	}
-	f.wantedIndex.Store(index)
 	f.Refresh()
 }
 
+// raiseWanted raises wantedIndex to index, and reports whether it was lower.
+func (f *Follower) raiseWanted(index uint64) bool {
+	for {
+		wanted := f.wantedIndex.Load()
+		if index <= wanted {
+			return false
+		}
+		if f.wantedIndex.CompareAndSwap(wanted, index) {
+			return true
+		}
+	}
+}
+
 // AwaitDocument fetches the document with the given index or a newer one. It
 // waits for at most awaitTimeout and reports whether the document has arrived.
 func (f *Follower) AwaitDocument(ctx context.Context, index uint64) bool {
--- a/internal/fleet/control/follower_test.go
+++ b/internal/fleet/control/follower_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -96,3 +97,23 @@
 		t.Errorf("confirmation age %d ms in the reply, want at least %d", got, atLeast)
 	}
 }
+
+// Indexes arrive on many connections at once. The highest one wins, whatever the
+// order in which they are recorded.
+func TestWantedIndexNeverFalls(t *testing.T) {
+	f := newFollower()
+	f.refresh = make(chan struct{}, 1)
+	var wg sync.WaitGroup
+	const highest = 2000
+	for start := range 4 {
+		wg.Go(func() {
+			for i := uint64(start); i <= highest; i += 4 {
+				f.ObserveDocument(i)
+			}
+		})
+	}
+	wg.Wait()
+	if got, want := f.wantedIndex.Load(), uint64(highest); got != want {
+		t.Errorf("wanted index %d, want %d", got, want)
+	}
+}
--- a/internal/serve/once/runner.go
+++ b/internal/serve/once/runner.go
@@ -121,7 +121,7 @@
 	if !ok {
 		return r.noUpstream(ctx, c)
 	}
-	answer, err := r.propose(ctx, &statepb.Command{Body: &statepb.Command_Claim{Claim: &statepb.Claim{
+	answer, err := r.proposeBinding(ctx, c, &statepb.Command{Body: &statepb.Command_Claim{Claim: &statepb.Claim{
 		Account: c.Account,
 		Key:     c.Key,
 		Digest:  c.Digest,
@@ -174,6 +174,23 @@
 	return r.cfg.Ledger.Propose(ctx, cmd)
 }
 
+// proposeBinding proposes a command that binds a call to an upstream. It returns once
+// this process has the document that the ledger checked the call against, or the
+// caller stops waiting: agents refuse calls under an older document.
+func (r *Runner) proposeBinding(ctx context.Context, c Call, cmd *statepb.Command) (*statepb.Result, error) {
+	answer, err := r.propose(ctx, cmd)
+	if err != nil {
+		return nil, err
+	}
+	for !r.cfg.AwaitDocument(ctx, answer.Document) {
+		if ctx.Err() != nil || time.Now().After(c.Deadline) {
+			r.addToTimeline("document", c, fmt.Sprintf("document %d of the claim did not arrive in time", answer.Document))
+			break
+		}
+	}
+	return answer, nil
+}
+
 // refusalFromLedger converts a refusal by the ledger into the caller's error.
 func refusalFromLedger(a *statepb.Result) error {
 	switch a.Kind {
@@ -308,6 +325,9 @@
 				if err != nil {
 					return total, err
 				}
+				if bound.Outcome != statepb.Outcome_OUTCOME_CLAIMED {
+					return resultFromClaim(bound)
+				}
 				claim, u = bound, next
 				continue
 			}
@@ -414,9 +434,10 @@
 	return end.ServiceUs
 }
 
-// rebind moves the claim to upstream u after the claimed attempt did not run.
+// rebind moves the claim to upstream u after the claimed attempt did not run. If the
+// call has been done meanwhile, it returns the claim with that outcome.
 func (r *Runner) rebind(ctx context.Context, c Call, claim *statepb.ClaimState, u route.Upstream) (*statepb.ClaimState, error) {
-	answer, err := r.propose(ctx, &statepb.Command{Body: &statepb.Command_Rebind{Rebind: &statepb.Rebind{
+	answer, err := r.proposeBinding(ctx, c, &statepb.Command{Body: &statepb.Command_Rebind{Rebind: &statepb.Rebind{
 		Account:     c.Account,
 		Key:         c.Key,
 		FromAttempt: claim.Target.Attempt,
@@ -426,16 +447,24 @@
 		return nil, refuse.New(refuse.OutcomePending, refuse.RanUnknown, err.Error(), "ask again with the same key")
 	}
 	if answer.Kind != statepb.ResultKind_RESULT_KIND_OK && !rebindApplied(answer.Claim, claim, u) {
-		if answer.Kind == statepb.ResultKind_RESULT_KIND_EXISTS {
-			_, err := resultFromClaim(answer.Claim)
-			return nil, err
-		}
-		return nil, refusalFromLedger(answer)
+		return resolvedClaim(answer)
 	}
 	r.addToTimeline("rebind", c, fmt.Sprintf("key %s to %s attempt %d", c.Key, u.Name, answer.Claim.Target.Attempt))
 	return answer.Claim, nil
 }
 
+// resolvedClaim returns the claim of a rebind that found it resolved already, or the
+// caller's error if it is not.
+func resolvedClaim(answer *statepb.Result) (*statepb.ClaimState, error) {
+	if answer.Kind != statepb.ResultKind_RESULT_KIND_EXISTS {
+		return nil, refusalFromLedger(answer)
+	}
+	if _, err := resultFromClaim(answer.Claim); err != nil {
+		return nil, err
+	}
+	return answer.Claim, nil
+}
+
 // rebindApplied reports whether an earlier proposal of the same rebind has
 // already taken effect.
 func rebindApplied(current, previous *statepb.ClaimState, u route.Upstream) bool {
--- a/internal/serve/once/runner_test.go
+++ b/internal/serve/once/runner_test.go
@@ -285,6 +285,79 @@
 	}
 }
 
+// newerLedger is a ledger that checks claims against document 9.
+type newerLedger struct{ *fakeLedger }
+
+func (l newerLedger) Propose(ctx context.Context, c *statepb.Command) (*statepb.Result, error) {
+	r, err := l.fakeLedger.Propose(ctx, c)
+	if r != nil {
+		r.Document = 9
+	}
+	return r, err
+}
+
+// The ledger may have admitted a call under a newer document than this process has,
+// for instance one that releases the service again. Agents refuse a call under the
+// older one, so it must not be sent before the newer one has arrived.
+func TestCallWaitsForDocumentOfItsClaim(t *testing.T) {
+	h := newHarness(t, "")
+	r := h.runner("e1/1", true)
+	r.cfg.Ledger = newerLedger{h.ledger}
+	key := fmt.Sprintf("%d-k", time.Now().UnixMilli())
+	polls := 0
+	r.cfg.AwaitDocument = func(_ context.Context, index uint64) bool {
+		if got, want := index, uint64(9); got != want {
+			t.Errorf("waited for document %d, want %d", got, want)
+		}
+		if got := h.executions(key); polls < 2 && got != 0 {
+			t.Errorf("the call ran before the document had arrived")
+		}
+		polls++
+		return polls > 2
+	}
+	if _, err := r.Run(context.Background(), testCall(key)); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := h.executions(key), 1; polls < 3 || got != want {
+		t.Errorf("side effect performed %d times after %d waits for the document, want %d after 3", got, polls, want)
+	}
+}
+
+// resolvingLedger records an outcome of a claim just before it is rebound, as another
+// process may.
+type resolvingLedger struct{ *fakeLedger }
+
+func (l resolvingLedger) Propose(ctx context.Context, c *statepb.Command) (*statepb.Result, error) {
+	if b := c.GetRebind(); b != nil {
+		_, err := l.fakeLedger.Propose(ctx, &statepb.Command{Body: &statepb.Command_Resolve{Resolve: &statepb.Resolve{
+			Account: b.Account, Key: b.Key, Attempt: b.FromAttempt, Outcome: statepb.Outcome_OUTCOME_DONE, Result: []byte("van 9"),
+		}}})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return l.fakeLedger.Propose(ctx, c)
+}
+
+// A claim that turns out to be resolved when it is to be rebound gives its recorded
+// outcome, and the call is not sent again.
+func TestRebindOfResolvedClaimReturnsItsOutcome(t *testing.T) {
+	h := newHarness(t, "refuses", "refuses")
+	r := h.runner("e1/1", true)
+	r.cfg.Ledger = resolvingLedger{h.ledger}
+	key := fmt.Sprintf("%d-k", time.Now().UnixMilli())
+	result, err := r.Run(context.Background(), testCall(key))
+	if got, want := callerOutcome(err), "yes"; got != want {
+		t.Fatalf("told %q, want %q", got, want)
+	}
+	if got, want := string(result.Output), "van 9"; got != want {
+		t.Errorf("output %q, want %q", got, want)
+	}
+	if got := h.executions(key); got != 0 {
+		t.Errorf("side effect performed %d times here, want 0", got)
+	}
+}
+
 // An entry is paused after its claim, and another entry resolves that claim as
 // not run. When the paused entry resumes and dispatches the call, the agent must
 // refuse it.
