api/gateway: a stopping entry rejects streams that a slow upstream would not finish

Cause: an entry that stops took a stream if twice the average duration of its route was left. On a slow or full upstream the stream takes several times the average and is cut at the end of the grace period. The time was looked at once, before the stages: a stream that waited for them was sent although it could not end in time. The log line on aborted requests counted them after they had been aborted.

TestDrainRejectsStreamsThatSlowUpstreamsWouldNotFinish and TestDrainRejectsStreamsAfterSlowStages failed before (200 where the stream would be cut on a slow upstream; sent after slow stages).

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -329,7 +329,7 @@
 	defer time.AfterFunc(time.Until(deadline)-cancelSentMargin, g.server.CancelSent).Stop()
 	err := g.callerHTTP.Shutdown(ctx)
 	if err != nil {
-		g.log.Warn("open requests aborted at the end of the grace period", zap.Int64("requests", g.server.InFlight()), zap.Error(err))
+		g.log.Warn("connections closed at the end of the grace period", zap.Int64("requests", g.server.InFlight()), zap.Error(err))
 		err = g.callerHTTP.Close()
 	}
 	err = errors.Join(err, g.readyHTTP.Close(), g.follower.Load().Close(), g.batchRouter.Close(), g.linkServer.Close(), g.batchOwner.Close(), g.transport.Close())
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -93,6 +93,10 @@
 			return
 		}
 		q.stagesTook = time.Since(q.start)
+		if q.attempts == 0 && q.server.outlastsShutdown(q.route, &q.server.sendDurations) {
+			q.server.writeFailure(w, q, q.stopping())
+			return
+		}
 		response, f := q.forward(ctx)
 		if f == nil {
 			q.respond(ctx, w, response)
--- a/internal/api/gateway/response.go
+++ b/internal/api/gateway/response.go
@@ -141,6 +141,7 @@
 	q.server.cfg.Metrics.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("answered").Inc(1)
 	q.server.cfg.Metrics.Timer("answer").Record(time.Since(q.start))
 	q.server.durations.record(q.route.Name, time.Since(q.start))
+	q.server.sendDurations.record(q.route.Name, time.Since(q.start)-q.stagesTook)
 	q.server.cfg.Log.Info("request answered", q.fields(
 		zap.Int("status", status), zap.Duration("staged", q.stagesTook), zap.Int64("bytes", written))...)
 }
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -81,8 +81,11 @@
 	unsentCtx, sentCtx       context.Context
 	cancelUnsent, cancelSent context.CancelFunc
 	// budgets holds the *budget.Budget of each service by name.
-	budgets   sync.Map
-	durations routeDurations
+	budgets sync.Map
+	// durations are those of whole requests, sendDurations those from the end of the
+	// stages to the end of the response.
+	durations     routeDurations
+	sendDurations routeDurations
 	// stopAt is the time.Time at which the process stops, set when draining
 	// starts.
 	stopAt   atomic.Value
@@ -130,7 +133,12 @@
 
 // CancelSent cancels all requests in progress. Those that were sent and have no
 // answer yet fail with 504, and responses that are being forwarded are aborted.
-func (s *Server) CancelSent() { s.cancelSent() }
+func (s *Server) CancelSent() {
+	if n := s.inFlight.Load(); n > 0 {
+		s.cfg.Log.Warn("open requests aborted at the end of the grace period", zap.Int64("requests", n))
+	}
+	s.cancelSent()
+}
 
 // InFlight returns the number of requests in progress.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
@@ -207,7 +215,7 @@
 	if f := q.readBody(x.Limits.BodyBytes); f != nil {
 		return q, f
 	}
-	if s.outlastsShutdown(route) {
+	if s.outlastsShutdown(route, &s.durations) {
 		return q, q.stopping()
 	}
 	return q, nil
--- a/internal/api/gateway/stop_test.go
+++ b/internal/api/gateway/stop_test.go
@@ -129,3 +129,67 @@
 		t.Errorf("%d runs, want %d", got, want)
 	}
 }
+
+// A stream that ends in time on most upstreams and not on a slow one is rejected too:
+// nobody knows beforehand which upstream will be slow.
+func TestDrainRejectsStreamsThatSlowUpstreamsWouldNotFinish(t *testing.T) {
+	const fast, slow = 10 * time.Millisecond, 400 * time.Millisecond
+	runs := 0
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		runs++
+		if runs%10 == 1 {
+			time.Sleep(slow)
+		}
+		time.Sleep(fast)
+		writeEvents(2)(w, r)
+	})
+	f := newFixture(t, document(), u.URL)
+	for range 30 {
+		if _, _, err := f.call(t, "/stream/x"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.Drain(time.Now().Add(10 * time.Second))
+	f.stopAt.Store(time.Now().Add(slow - fast))
+	resp, _, err := f.call(t, "/stream/x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := resp.StatusCode, http.StatusServiceUnavailable; got != want {
+		t.Errorf("status %d with less time left than a slow upstream takes, want %d", got, want)
+	}
+}
+
+// A request whose stages have taken so long that its stream would be cut is rejected
+// before it is sent, while that is still true.
+func TestDrainRejectsStreamsAfterSlowStages(t *testing.T) {
+	const stage, generation = 200 * time.Millisecond, 150 * time.Millisecond
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(generation)
+		writeEvents(2)(w, r)
+	})
+	f := newFixture(t, document(testStages()...), u.URL)
+	f.runStage = succeed
+	status := func() int {
+		resp, _, err := f.call(t, "/staged/x", "Pieces", "1,0,0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp.StatusCode
+	}
+	if got, want := status(), http.StatusOK; got != want {
+		t.Fatalf("before the drain: status %d, want %d", got, want)
+	}
+	f.runStage = func(job batcher.Job) batcher.Result {
+		time.Sleep(stage)
+		return succeed(job)
+	}
+	f.Drain(time.Now().Add(10 * time.Second))
+	f.stopAt.Store(time.Now().Add(stage + generation))
+	if got, want := status(), http.StatusServiceUnavailable; got != want {
+		t.Errorf("status %d after slow stages, want %d", got, want)
+	}
+	if got, want := u.runs.Load(), int64(1); got != want {
+		t.Errorf("%d runs, want %d", got, want)
+	}
+}
