cmd/hawthornhub, fleet/watch: connections of their own for the log; figures of what is told

The Raft log's messages, proposals and reads of a registry no longer share connections with News, so that an election does not wait behind a whole state. The hub counts what it sends; watchers_behind, news_sent, news_bytes and news_whole are metrics. Failed cells of TestMatrix and parts of TestContract print what the processes logged meanwhile.

--- a/cmd/hawthornbench/contract_test.go
+++ b/cmd/hawthornbench/contract_test.go
@@ -45,17 +45,27 @@
 			t.Error(err)
 		}
 	}()
-	t.Run("bad requests have no effect", func(t *testing.T) { testBadRequests(t, f) })
-	t.Run("idempotency key is shared by all entries", func(t *testing.T) { testIdempotencyKey(t, f) })
-	t.Run("concurrent edits with the same base version", func(t *testing.T) { testConcurrentEdits(t, f) })
-	t.Run("edit resent during a failover", func(t *testing.T) { testEditDuringFailover(t, f) })
-	t.Run("rate limit is enforced across entries", func(t *testing.T) { testRateLimit(t, f) })
-	t.Run("orders are fenced", func(t *testing.T) { testOrderFencing(t, f) })
-	t.Run("client disconnect cancels the call at the upstream", func(t *testing.T) { testClientDisconnect(t, f) })
-	t.Run("stream resumes on another upstream", func(t *testing.T) { testStreamFailover(t, f) })
-	t.Run("leaving upstream gets nothing", func(t *testing.T) { testDrain(t, f) })
-	t.Run("stopped service stops", func(t *testing.T) { testStoppedService(t, f) })
-	t.Run("restart after many edits", func(t *testing.T) { testRestartAfterManyEdits(t, f) })
+	for _, tt := range []struct {
+		name string
+		run  func(*testing.T, *fleet)
+	}{
+		{"bad requests have no effect", testBadRequests},
+		{"idempotency key is shared by all entries", testIdempotencyKey},
+		{"concurrent edits with the same base version", testConcurrentEdits},
+		{"edit resent during a failover", testEditDuringFailover},
+		{"rate limit is enforced across entries", testRateLimit},
+		{"orders are fenced", testOrderFencing},
+		{"client disconnect cancels the call at the upstream", testClientDisconnect},
+		{"stream resumes on another upstream", testStreamFailover},
+		{"leaving upstream gets nothing", testDrain},
+		{"stopped service stops", testStoppedService},
+		{"restart after many edits", testRestartAfterManyEdits},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			logsOnFailure(t, f)
+			tt.run(t, f)
+		})
+	}
 }
 
 func newKey() string { return uuid.Must(uuid.NewV7()).String() }
--- a/cmd/hawthornbench/matrix_test.go
+++ b/cmd/hawthornbench/matrix_test.go
@@ -20,6 +20,7 @@
 	}()
 	for _, c := range matrixCells() {
 		t.Run(c.fault+" "+c.step, func(t *testing.T) {
+			logsOnFailure(t, f)
 			v := runCell(f, c)
 			t.Logf("%-28s %-26s passed %-5t %s", v.fault, v.step, v.passed, v.detail)
 			if got, want := v.passed, true; got != want {
--- a/cmd/hawthornhub/registry.go
+++ b/cmd/hawthornhub/registry.go
@@ -53,6 +53,9 @@
 	hub       *watch.Hub
 	upstreams *catalog.Table
 	replica   atomic.Pointer[replica.Replica]
+	// replicaPool holds the connections for the Raft log, its messages and what goes
+	// through it, so that they do not wait behind News.
+	replicaPool *link.Pool
 	// replicaReady is closed once replica is set.
 	replicaReady chan struct{}
 	follower     atomic.Pointer[watch.Follower]
@@ -84,6 +87,7 @@
 	p.system = process.NewActorSystem(p.log)
 	p.upstreams = catalog.New(catalog.Config{})
 	p.hub = watch.NewHub(watch.HubConfig{Self: func() *fleetpb.Peer { return p.selfPeer(watch.RoleControl) }, Table: p.upstreams, Voters: p.voters, Log: p.log})
+	p.replicaPool = p.newPool()
 	var err error
 	p.linkServer, err = link.Listen(link.ServerConfig{Address: s.Listen.Link, Local: p.local, Auth: p.auth, Handle: p.handle, Log: p.log})
 	if err != nil {
@@ -101,7 +105,7 @@
 		OnSiteDocument:  p.hub.SetSiteDocument,
 		Tick:            registryRaftTick,
 		SnapshotEntries: registrySnapshotEntries,
-		Pool:            p.pool,
+		Pool:            p.replicaPool,
 		System:          p.system,
 		Timeline:        p.timeline,
 		Log:             p.log,
@@ -122,7 +126,7 @@
 		Log:    p.log,
 	}))
 	p.startGauges(p.updateGauges)
-	server := registry.New(registry.Config{Hub: p.hub, Replica: r, Pool: p.pool, Decode: platform.DecodeDocument, Log: p.log})
+	server := registry.New(registry.Config{Hub: p.hub, Replica: r, Pool: p.replicaPool, Decode: platform.DecodeDocument, Log: p.log})
 	p.http = &http.Server{Handler: platform.RegistryMux(server), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: httpIdleTimeout}
 	return errors.Join(p.serveHealth(p.checkReady), p.serveOn(s.Listen.Registry, p.http))
 }
@@ -142,7 +146,12 @@
 	scope.Gauge("commit_index").Update(float64(status.Commit))
 	scope.Gauge("syncs").Update(float64(status.Syncs))
 	scope.Gauge("voters").Update(float64(len(status.Voters.GetVoters())))
-	scope.Gauge("watchers").Update(float64(p.hub.WatcherCount()))
+	news := p.hub.Stats()
+	scope.Gauge("watchers").Update(float64(news.Watchers))
+	scope.Gauge("watchers_behind").Update(float64(news.Behind))
+	scope.Gauge("news_sent").Update(float64(news.Sent))
+	scope.Gauge("news_bytes").Update(float64(news.Bytes))
+	scope.Gauge("news_whole").Update(float64(news.Whole))
 }
 
 // checkReady returns an error if no leader is known, so that the instance cannot
@@ -232,7 +241,7 @@
 	transferCtx, cancel := context.WithTimeout(ctx, leaderTransferTimeout)
 	defer cancel()
 	r.TransferLeadership(transferCtx)
-	err := errors.Join(p.http.Shutdown(ctx), p.follower.Load().Close(), p.linkServer.Close(), p.hub.Close(), r.Close())
+	err := errors.Join(p.http.Shutdown(ctx), p.follower.Load().Close(), p.linkServer.Close(), p.hub.Close(), r.Close(), p.replicaPool.Close())
 	p.system.Shutdown()
 	p.close()
 	return err
--- a/cmd/hawthornhub/site.go
+++ b/cmd/hawthornhub/site.go
@@ -87,13 +87,25 @@
 		// Raft members of the registries are identified by their link address.
 		p.local.Name = s.Listen.Link
 	}
-	p.pool = link.NewPool(link.PoolConfig{Local: p.local, Auth: p.auth, HeartbeatInterval: linkHeartbeatInterval, HeartbeatTimeout: linkHeartbeatTimeout, DialTimeout: linkDialTimeout, Log: p.log})
+	p.pool = p.newPool()
 	p.settingsModTime = p.statSettings()
 	p.log.Info("process starts", zap.String("role", string(role)), zap.String("zone", s.Zone), zap.Strings("seeds", s.Seeds),
 		zap.Uint64("incarnation", p.incarnation), zap.Bool("first", s.Replica.Bootstrap), zap.String("program", version))
 	return p, nil
 }
 
+// newPool returns a link pool with connections of its own.
+func (p *siteProcess) newPool() *link.Pool {
+	return link.NewPool(link.PoolConfig{
+		Local:             p.local,
+		Auth:              p.auth,
+		HeartbeatInterval: linkHeartbeatInterval,
+		HeartbeatTimeout:  linkHeartbeatTimeout,
+		DialTimeout:       linkDialTimeout,
+		Log:               p.log,
+	})
+}
+
 // unresponsiveRetention is how much longer the catalog keeps an upstream that no
 // longer announces itself than one that has left.
 const unresponsiveRetention = time.Minute
--- a/internal/fleet/watch/hub.go
+++ b/internal/fleet/watch/hub.go
@@ -57,6 +57,7 @@
 	// peers holds the listed processes by name: this instance, its watchers and the
 	// other voters.
 	peers map[string]*fleetpb.Peer
+	stats Stats
 	// departed holds when a name was removed from peers.
 	departed map[string]time.Time
 	done     chan struct{}
@@ -267,7 +268,7 @@
 		}
 	}
 	h.describeHeard(n, w, now)
-	w.recordSent(n, now)
+	h.stats = h.stats.withSent(n, w.recordSent(n, now))
 	return n, 0
 }
 
@@ -456,6 +457,20 @@
 	}
 }
 
+// Stats returns what the hub has sent and how many watchers it has.
+func (h *Hub) Stats() Stats {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.stats
+	s.Watchers = len(h.watchers)
+	for w := range h.watchers {
+		if w.acked < h.changes.last && w.peer.GetRole() != RoleRelay {
+			s.Behind++
+		}
+	}
+	return s
+}
+
 // ForgetUpstreams forgets upstreams that the table no longer holds.
 func (h *Hub) ForgetUpstreams(ids []string) {
 	h.mu.Lock()
--- a/internal/fleet/watch/watcher.go
+++ b/internal/fleet/watch/watcher.go
@@ -66,11 +66,13 @@
 	return probeInterval
 }
 
-// recordSent records that a News is being sent at now.
-func (w *watcher) recordSent(n *fleetpb.News, now time.Time) {
-	transfer := time.Duration(proto.Size(n)) * time.Second / minLinkBytes
+// recordSent records that a News is being sent at now, and returns its size in bytes.
+func (w *watcher) recordSent(n *fleetpb.News, now time.Time) int {
+	size := proto.Size(n)
+	transfer := time.Duration(size) * time.Second / minLinkBytes
 	w.sent, w.whole, w.outstanding = n.Seq, false, true
 	w.sentAt, w.ackDue = now, now.Add(ackTimeout+transfer)
+	return size
 }
 
 // unresponsive reports whether the watcher has not acknowledged the last News in
