fleet/watch, fleet/catalog: each announcement is told once, digests find what was missed

Cause: each control instance told every gateway of every upstream, also of those that had announced themselves to another one.

Change: a hub passes on what was announced to itself. Digests of 64 buckets, kept in step with the table and carried by every News, show what a watcher lacks; it asks one control instance at a time. Tombstones go to a hub that starts anew, as before.

Ruled out: asking for the whole state of one hub only, since a hub that has just started holds little of it.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -124,8 +124,10 @@
 		WatchRequest: g.watchRequest,
 		OnNews:       g.applyNews,
 		OnSilence:    func(ids map[string]bool) { g.upstreams.SetSilent(ids, time.Now()) },
-		Lacking: func(known []*fleetpb.UpstreamWord) []*fleetpb.UpstreamWord {
-			return g.upstreams.Lacking(known, time.Now())
+		Digests:      g.upstreams.Digests,
+		Departed:     func() []*fleetpb.UpstreamWord { return g.upstreams.Departed(time.Now()) },
+		Lacking: func(buckets []uint32, known []*fleetpb.UpstreamWord) []*fleetpb.UpstreamWord {
+			return g.upstreams.Lacking(buckets, known, time.Now())
 		},
 		Log: g.log,
 	}))
--- a/cmd/hawthornhub/registry.go
+++ b/cmd/hawthornhub/registry.go
@@ -122,8 +122,9 @@
 		WatchRequest: func() *fleetpb.Watch {
 			return &fleetpb.Watch{Self: p.selfPeer(watch.RoleControl), Version: skipDocuments}
 		},
-		OnNews: func(n *fleetpb.News) { p.hub.Merge(n) },
-		Log:    p.log,
+		OnNews:  func(n *fleetpb.News) { p.hub.Merge(n) },
+		Digests: p.upstreams.Digests,
+		Log:     p.log,
 	}))
 	p.startGauges(p.updateGauges)
 	server := registry.New(registry.Config{Hub: p.hub, Replica: r, Pool: p.replicaPool, Decode: platform.DecodeDocument, Log: p.log})
--- a/internal/fleet/catalog/table.go
+++ b/internal/fleet/catalog/table.go
@@ -54,7 +54,8 @@
 	byAddr map[string]string
 	// ready caches the ready upstreams of each service, sorted by ID; nil after
 	// a change.
-	ready map[string][]Upstream
+	ready   map[string][]Upstream
+	digests Digests
 }
 
 // New returns an empty Table.
@@ -153,16 +154,26 @@
 	}
 }
 
-// Lacking returns the upstreams that the given announcements, which another process
-// sent at now, leave out or hold in an older state. Those that are not silent count
-// as seen now.
-func (t *Table) Lacking(known []*fleetpb.UpstreamWord, now time.Time) []*fleetpb.UpstreamWord {
-	held := make(map[string]*fleetpb.UpstreamWord, len(known))
-	for _, w := range known {
-		held[w.Id] = w
+// Departed returns the upstreams that are draining or have left, as sent at now.
+func (t *Table) Departed(now time.Time) []*fleetpb.UpstreamWord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []*fleetpb.UpstreamWord
+	for _, u := range t.byID {
+		if u.State != Ready {
+			out = append(out, u.Proto(now))
+		}
 	}
+	return out
+}
+
+// Lacking returns the upstreams in the given buckets that the given announcements,
+// which another process sent at now, leave out or hold in an older state. Those that
+// are not silent count as seen now.
+func (t *Table) Lacking(buckets []uint32, known []*fleetpb.UpstreamWord, now time.Time) []*fleetpb.UpstreamWord {
+	held := protoByID(known)
 	var out []*fleetpb.UpstreamWord
-	for _, u := range t.All() {
+	for _, u := range t.InBuckets(bucketSet(buckets)) {
 		if w := held[u.ID]; w != nil && (w.BornMs > u.StartTimeMs || w.BornMs == u.StartTimeMs && State(w.State) >= u.State) {
 			continue
 		}
@@ -207,6 +218,7 @@
 	if other.State != Left {
 		left := other.WithState(Left)
 		left.LastSeen = u.LastSeen
+		t.replaceDigest(other, left)
 		t.byID[id] = left
 		t.ready = nil
 		t.notify(other, left)
@@ -220,6 +232,7 @@
 	if current.Address != u.Address && t.byAddr[current.Address] == u.ID {
 		delete(t.byAddr, current.Address)
 	}
+	t.replaceDigest(current, u)
 	t.byID[u.ID] = u
 	if u.Address == "" {
 		return
@@ -300,6 +313,7 @@
 		if !(u.State == Left && age > tombstoneTTL || u.Silent && age > tombstoneTTL+extra) {
 			continue
 		}
+		t.replaceDigest(u, Upstream{})
 		delete(t.byID, id)
 		removed = append(removed, id)
 		t.ready = nil
--- a/internal/fleet/watch/follower.go
+++ b/internal/fleet/watch/follower.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
@@ -57,9 +58,16 @@
 	// instance hears, whenever the set changes; nil ignores them. It must not call the
 	// Follower.
 	OnSilence func(ids map[string]bool)
-	// Lacking returns the known upstreams that a control instance with the given ones
-	// has lost; nil returns none.
-	Lacking func(known []*fleetpb.UpstreamWord) []*fleetpb.UpstreamWord
+	// Digests returns the digests of the known upstreams. A Follower compares them with
+	// those of the control instances, and asks for what differs; nil compares nothing.
+	Digests func() catalog.Digests
+	// Departed returns the upstreams that are draining or have left, for a control
+	// instance that has lost its state: a delayed announcement must not bring them
+	// back. nil returns none.
+	Departed func() []*fleetpb.UpstreamWord
+	// Lacking returns the known upstreams in the given buckets that a control instance
+	// with the given ones has lost; nil returns none.
+	Lacking func(buckets []uint32, known []*fleetpb.UpstreamWord) []*fleetpb.UpstreamWord
 	Log     *zap.Logger
 }
 
@@ -73,6 +81,9 @@
 	mu     sync.Mutex
 	// sources holds the control instances by link address.
 	sources map[string]*source
+	// comparedAt is when a control instance was last asked for what differs. One is
+	// asked at a time: what it sends may settle the difference to the others.
+	comparedAt time.Time
 	// silent holds the IDs last passed to OnSilence.
 	silent map[string]bool
 	// view is the present list of processes, nil after a change.
@@ -253,16 +264,43 @@
 		}
 		f.cfg.OnNews(n)
 		f.handleNews(s, st, n)
-		seen := &fleetpb.NewsSeen{Seq: n.Seq}
-		if n.Whole && f.cfg.Lacking != nil {
-			seen.Upstreams = f.cfg.Lacking(n.Upstreams)
-		}
-		if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_NewsSeen{NewsSeen: seen}}); err != nil {
+		if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_NewsSeen{NewsSeen: f.acknowledgement(s, n)}}); err != nil {
 			return err
 		}
 	}
 }
 
+// acknowledgement returns the answer to a News, with what the control instance lacks.
+func (f *Follower) acknowledgement(s *source, n *fleetpb.News) *fleetpb.NewsSeen {
+	seen := &fleetpb.NewsSeen{Seq: n.Seq, Digests: f.compare(s, n, time.Now())}
+	if n.Whole && f.cfg.Departed != nil {
+		seen.Upstreams = f.cfg.Departed()
+	}
+	if len(n.Buckets) > 0 && f.cfg.Lacking != nil {
+		seen.Upstreams = append(seen.Upstreams, f.cfg.Lacking(n.Buckets, n.Upstreams)...)
+	}
+	return seen
+}
+
+// compare returns the digests of this process if they differ from that of s, for a
+// while or right after it was joined, and no control instance was asked for the
+// difference recently.
+func (f *Follower) compare(s *source, n *fleetpb.News, now time.Time) []uint64 {
+	if f.cfg.Digests == nil {
+		return nil
+	}
+	own := f.cfg.Digests()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	differs := s.differs(own.Sum(), n.Digest, now) || n.Whole && own.Sum() != n.Digest
+	if !differs || now.Sub(f.comparedAt) < digestDelay {
+		return nil
+	}
+	f.comparedAt, s.differsSince = now, now
+	f.cfg.Log.Info("upstreams differ from those of a control instance; comparing", zap.String("peer", s.address))
+	return own[:]
+}
+
 // request returns the message that opens a stream to s, with the last change seen.
 func (f *Follower) request(s *source) *fleetpb.Watch {
 	w := f.cfg.WatchRequest()
--- a/internal/fleet/watch/hub.go
+++ b/internal/fleet/watch/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -96,13 +97,13 @@
 	h.publish(thing{kind: documentChange})
 }
 
-// Merge applies the upstreams in a News message of another control instance.
-// Those that it only reports as alive are not passed on: every control instance
-// follows that one itself.
+// Merge applies the upstreams in a News message of another control instance. They are
+// not passed on: whoever follows this one follows the other too, or finds by the
+// digest what it lacks.
 func (h *Hub) Merge(n *fleetpb.News) {
 	now := time.Now()
 	for _, u := range n.Upstreams {
-		h.merge(catalog.FromProto(u, now))
+		h.cfg.Table.Merge(catalog.FromProto(u, now))
 	}
 	for _, u := range n.Heard {
 		h.cfg.Table.Refresh(u.Id, u.Seq, now.Add(-time.Duration(u.AgeMs)*time.Millisecond))
@@ -113,7 +114,7 @@
 // changes anything, Announce returns once every watcher has acknowledged it or
 // ctx is done.
 func (h *Hub) Announce(ctx context.Context, u catalog.Upstream) catalog.Outcome {
-	outcome := h.merge(u)
+	outcome := h.mergeAnnounced(u)
 	switch outcome {
 	case catalog.Changed:
 		h.waitAcked(ctx)
@@ -124,7 +125,7 @@
 	return outcome
 }
 
-func (h *Hub) merge(u catalog.Upstream) catalog.Outcome {
+func (h *Hub) mergeAnnounced(u catalog.Upstream) catalog.Outcome {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	outcome := h.cfg.Table.Merge(u)
@@ -258,16 +259,17 @@
 		return nil, wait
 	}
 	things := h.changes.since(w.sent)
-	if idle := w.idleInterval() - now.Sub(w.sentAt); idle > 0 && !w.whole && !slices.ContainsFunc(things, w.wants) {
+	if idle := w.idleInterval() - now.Sub(w.sentAt); idle > 0 && !w.whole && len(w.buckets) == 0 && !slices.ContainsFunc(things, w.wants) {
 		return nil, idle
 	}
-	n := &fleetpb.News{Seq: h.changes.last, Incarnation: h.incarnation, Whole: w.whole}
+	n := &fleetpb.News{Seq: h.changes.last, Incarnation: h.incarnation, Whole: w.whole, Digest: h.cfg.Table.Digests().Sum()}
 	for _, t := range things {
 		if w.wants(t) {
 			h.describe(n, t, w, now)
 		}
 	}
 	h.describeHeard(n, w, now)
+	h.describeBuckets(n, w, now)
 	h.stats = h.stats.withSent(n, w.recordSent(n, now))
 	return n, 0
 }
@@ -294,6 +296,19 @@
 	}
 }
 
+// describeBuckets adds the upstreams in the buckets that the watcher asked for. The
+// caller holds mu.
+func (h *Hub) describeBuckets(n *fleetpb.News, w *watcher, now time.Time) {
+	if len(w.buckets) == 0 {
+		return
+	}
+	n.Buckets = slices.Sorted(maps.Keys(w.buckets))
+	for _, u := range h.cfg.Table.InBuckets(w.buckets) {
+		n.Upstreams = append(n.Upstreams, u.Proto(now))
+	}
+	w.buckets = nil
+}
+
 // describeHeard adds the upstreams that announced themselves without a change. The
 // caller holds mu.
 func (h *Hub) describeHeard(n *fleetpb.News, w *watcher, now time.Time) {
@@ -379,6 +394,9 @@
 		h.setPeer(self.GetName(), self)
 		return
 	}
+	if len(ack.GetDigests()) > 0 {
+		w.buckets = h.cfg.Table.Digests().Differing(ack.GetDigests())
+	}
 	w.acked = max(w.acked, min(ack.GetSeq(), w.sent))
 	w.outstanding = w.acked < w.sent
 	w.signalAck()
--- a/internal/fleet/watch/scale_test.go
+++ b/internal/fleet/watch/scale_test.go
@@ -92,7 +92,7 @@
 		for i := range upstreams {
 			u := upstream(fmt.Sprintf("u%d", i), catalog.Ready, uint64(round+1))
 			u.StartTimeMs = int64(round + 1)
-			c.hub.merge(u)
+			c.hub.mergeAnnounced(u)
 		}
 	}
 	eventually(t, "acknowledgement of the burst", func() bool {
--- a/internal/fleet/watch/source.go
+++ b/internal/fleet/watch/source.go
@@ -12,6 +12,11 @@
 // before it was lost count as well.
 const rejoinGracePeriod = 2 * time.Second
 
+// digestDelay is how long the digest of a control instance must differ from that of
+// this process before the difference is looked for. Changes that are on their way
+// make digests differ for a moment.
+const digestDelay = 300 * time.Millisecond
+
 // source is what is known of and from one control instance. The Follower's mu guards
 // it.
 type source struct {
@@ -25,6 +30,9 @@
 	// upstreams that it does not hear. Both are kept while it is disconnected.
 	peers  map[string]*fleetpb.Peer
 	silent map[string]bool
+	// differsSince is since when its digest of upstreams has differed from that of this
+	// process, zero while they are equal.
+	differsSince time.Time
 	// previousPeers are those listed before it last reconnected, at connectedAt.
 	previousPeers map[string]*fleetpb.Peer
 	connectedAt   time.Time
@@ -56,6 +64,18 @@
 	}
 }
 
+// differs compares the digest of a News, received at now, with that of this process,
+// and reports whether they have differed for digestDelay.
+func (s *source) differs(own, received uint64, now time.Time) bool {
+	switch {
+	case own == received:
+		s.differsSince = time.Time{}
+	case s.differsSince.IsZero():
+		s.differsSince = now
+	}
+	return !s.differsSince.IsZero() && now.Sub(s.differsSince) >= digestDelay
+}
+
 // inGracePeriod reports whether the processes from before the control instance
 // reconnected still count.
 func (s *source) inGracePeriod(now time.Time) bool {
--- a/internal/fleet/watch/watch_test.go
+++ b/internal/fleet/watch/watch_test.go
@@ -98,6 +98,7 @@
 			}
 		},
 		OnSilence: func(ids map[string]bool) { e.table.SetSilent(ids, time.Now()) },
+		Digests:   e.table.Digests,
 		Log:       zap.NewNop(),
 	})
 	t.Cleanup(func() {
@@ -125,6 +126,43 @@
 	return u.State
 }
 
+// What one control instance has told its watchers, the others do not tell them again;
+// the digest shows to a watcher what it has missed, and only that is sent.
+func TestEachAnnouncementReachesWatchersOnce(t *testing.T) {
+	a, b := newControlInstance(t), newControlInstance(t)
+	bridge := newEntry(t, "bridge", b.server.Address())
+	bridge.cfg.OnNews = func(n *fleetpb.News) { a.hub.Merge(n) }
+	told := make(map[string]int)
+	e := newEntry(t, "e1", a.server.Address(), b.server.Address())
+	e.mu.Lock()
+	e.onNews = func(n *fleetpb.News) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for _, u := range n.Upstreams {
+			told[u.Id]++
+		}
+	}
+	e.mu.Unlock()
+	eventually(t, "connection of the watchers", func() bool { return e.ConnectedCount() == 2 && b.hub.WatcherCount() == 2 })
+	const n = 50
+	for i := range n {
+		b.hub.mergeAnnounced(upstream(fmt.Sprint("u", i), catalog.Ready, 1))
+	}
+	eventually(t, "propagation of the announcements", func() bool {
+		return e.table.Digests() == b.table.Digests() && a.table.Digests() == b.table.Digests()
+	})
+	time.Sleep(2 * probeInterval)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	total := 0
+	for _, times := range told {
+		total += times
+	}
+	if got, want := total, n; got != want {
+		t.Errorf("%d announcements were sent for %d upstreams, want each once", got, want)
+	}
+}
+
 // Once Announce has returned for a draining upstream, every reachable entry
 // knows that it drains, even one that is slow to acknowledge.
 func TestAnnounceReturnsAfterAllEntriesKnow(t *testing.T) {
@@ -201,8 +239,10 @@
 		Pool: pool, Seeds: []string{c.server.Address()},
 		WatchRequest: func() *fleetpb.Watch { return &fleetpb.Watch{Self: &fleetpb.Peer{Name: "e", Link: "e"}} },
 		OnNews:       func(*fleetpb.News) {},
-		Lacking: func(held []*fleetpb.UpstreamWord) []*fleetpb.UpstreamWord {
-			return known.Lacking(held, time.Now())
+		Digests:      known.Digests,
+		Departed:     func() []*fleetpb.UpstreamWord { return known.Departed(time.Now()) },
+		Lacking: func(buckets []uint32, held []*fleetpb.UpstreamWord) []*fleetpb.UpstreamWord {
+			return known.Lacking(buckets, held, time.Now())
 		},
 		Log: zap.NewNop(),
 	})
@@ -316,7 +356,7 @@
 	e.Follower.mu.Unlock()
 	st.Close()
 	other.Close()
-	c.hub.merge(upstream("new", catalog.Ready, 1))
+	c.hub.mergeAnnounced(upstream("new", catalog.Ready, 1))
 	eventually(t, "news of the return", func() bool { return e.state("new") == catalog.Ready && len(e.Peers(RoleEntry)) == 1 })
 	for len(missed) > 0 {
 		n := <-missed
--- a/internal/fleet/watch/watcher.go
+++ b/internal/fleet/watch/watcher.go
@@ -29,6 +29,9 @@
 	// heard holds the IDs of upstreams that announced themselves without a change
 	// since the last News, for another control instance.
 	heard map[string]bool
+	// buckets holds the numbers of the buckets of upstreams that the watcher has asked
+	// for.
+	buckets map[uint32]bool
 	// wake has capacity 1 and receives a value when there may be something to send.
 	wake chan struct{}
 	// ackSignal is closed at the next acknowledgement and when the watcher is
