fleet/link: streams of a closing session don't use the processor

Cause: when a session ends, yamux wakes the readers of its streams first and tells them so only once its connection is closed; until then each runs in a loop without waiting.

Change: the connection below a session ends the reads of its streams by a deadline before it is closed.

--- a/internal/fleet/link/heartbeat.go
+++ b/internal/fleet/link/heartbeat.go
@@ -21,7 +21,7 @@
 	pool    *Pool
 	peer    *peer
 	session *yamux.Session
-	meter   *receiveMeter
+	conn    *sessionConn
 	address string
 }
 
@@ -33,7 +33,7 @@
 	if err != nil {
 		return
 	}
-	st := newStream(h.pool.cfg.Local, raw)
+	st := newStream(h.pool.cfg.Local, h.conn, raw)
 	defer st.Close()
 	replied := &atomic.Pointer[time.Time]{}
 	start := time.Now()
@@ -72,7 +72,7 @@
 // arrived.
 func (h heartbeat) check(replied time.Time) error {
 	now, timeout := time.Now(), h.pool.cfg.HeartbeatTimeout
-	if silence := now.Sub(h.meter.LastReceived()); silence > timeout {
+	if silence := now.Sub(h.conn.LastReceived()); silence > timeout {
 		return fmt.Errorf("nothing received for %v", silence)
 	}
 	if overdue := now.Sub(replied); overdue > replyTimeoutFactor*timeout {
--- a/internal/fleet/link/pool.go
+++ b/internal/fleet/link/pool.go
@@ -57,6 +57,8 @@
 type peer struct {
 	mu      sync.Mutex
 	session *yamux.Session
+	// conn is the connection of session.
+	conn *sessionConn
 	// lastUsed is when a stream was last opened.
 	lastUsed time.Time
 }
@@ -113,7 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	session, err := p.session(ctx, pr, address)
+	session, conn, err := p.session(ctx, pr, address)
 	if err != nil {
 		return nil, err
 	}
@@ -122,40 +124,40 @@
 		session.Close()
 		return nil, fmt.Errorf("open stream to %s: %w", address, err)
 	}
-	return newStream(p.cfg.Local, raw), nil
+	return newStream(p.cfg.Local, conn, raw), nil
 }
 
 // session returns the open session to a peer, or dials and authenticates a new
 // one.
-func (p *Pool) session(ctx context.Context, pr *peer, address string) (*yamux.Session, error) {
+func (p *Pool) session(ctx context.Context, pr *peer, address string) (*yamux.Session, *sessionConn, error) {
 	pr.mu.Lock()
 	defer pr.mu.Unlock()
 	pr.lastUsed = time.Now()
 	if pr.session != nil && !pr.session.IsClosed() {
-		return pr.session, nil
+		return pr.session, pr.conn, nil
 	}
 	d := net.Dialer{Timeout: p.cfg.DialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", address)
+	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, fmt.Errorf("dial %s: %w", address, err)
+		return nil, nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	secured, err := p.cfg.Auth.client(conn)
+	secured, err := p.cfg.Auth.client(raw)
 	if err != nil {
-		conn.Close()
-		return nil, err
+		raw.Close()
+		return nil, nil, err
 	}
-	meter := newReceiveMeter(secured)
-	session, err := yamux.Client(&coalescer{Conn: meter}, yamuxConfig())
+	conn := newSessionConn(secured)
+	session, err := yamux.Client(&coalescer{Conn: conn}, yamuxConfig())
 	if err != nil {
-		conn.Close()
-		return nil, fmt.Errorf("start session with %s: %w", address, err)
+		raw.Close()
+		return nil, nil, fmt.Errorf("start session with %s: %w", address, err)
 	}
-	if !p.startHeartbeat(heartbeat{pool: p, peer: pr, session: session, meter: meter, address: address}) {
+	if !p.startHeartbeat(heartbeat{pool: p, peer: pr, session: session, conn: conn, address: address}) {
 		session.Close()
-		return nil, fmt.Errorf("link pool is closed: %w", net.ErrClosed)
+		return nil, nil, fmt.Errorf("link pool is closed: %w", net.ErrClosed)
 	}
-	pr.session = session
-	return session, nil
+	pr.session, pr.conn = session, conn
+	return session, conn, nil
 }
 
 // startHeartbeat starts the heartbeat of a session. It reports false if the Pool
--- a/internal/fleet/link/server.go
+++ b/internal/fleet/link/server.go
@@ -108,7 +108,8 @@
 		conn.Close()
 		return
 	}
-	session, err := yamux.Server(&coalescer{Conn: secured}, yamuxConfig())
+	sessionConn := newSessionConn(secured)
+	session, err := yamux.Server(&coalescer{Conn: sessionConn}, yamuxConfig())
 	if err != nil {
 		conn.Close()
 		return
@@ -125,7 +126,7 @@
 			return
 		}
 		s.wg.Add(1)
-		go s.serveStream(raw)
+		go s.serveStream(sessionConn, raw)
 	}
 }
 
@@ -147,9 +148,9 @@
 	delete(s.sessions, session)
 }
 
-func (s *Server) serveStream(raw *yamux.Stream) {
+func (s *Server) serveStream(conn *sessionConn, raw *yamux.Stream) {
 	defer s.wg.Done()
-	st := newStream(s.cfg.Local, raw)
+	st := newStream(s.cfg.Local, conn, raw)
 	defer st.Close()
 	first, err := st.Recv()
 	if err != nil {
--- a/internal/fleet/link/stream.go
+++ b/internal/fleet/link/stream.go
@@ -66,14 +66,16 @@
 // another calls Recv.
 type Stream struct {
 	local Local
+	conn  *sessionConn
 	raw   *yamux.Stream
 	r     *bufio.Reader
 	mu    sync.Mutex
 	buf   []byte
 }
 
-func newStream(local Local, raw *yamux.Stream) *Stream {
-	return &Stream{local: local, raw: raw, r: bufio.NewReaderSize(raw, readBufferBytes)}
+func newStream(local Local, conn *sessionConn, raw *yamux.Stream) *Stream {
+	conn.add(raw)
+	return &Stream{local: local, conn: conn, raw: raw, r: bufio.NewReaderSize(raw, readBufferBytes)}
 }
 
 // Send sets the header fields of the Envelopes and writes them in one call.
@@ -131,5 +133,6 @@
 // Close closes the stream in both directions. Recv must not be called
 // afterwards.
 func (s *Stream) Close() error {
+	s.conn.remove(s.raw)
 	return s.raw.Close()
 }
