--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -80,6 +80,8 @@
 	// on requests.
 	unsentCtx, sentCtx       context.Context
 	cancelUnsent, cancelSent context.CancelFunc
+	// configured is closed by the first call of Configure.
+	configured chan struct{}
 	// budgets holds the *budget.Budget of each service by name.
 	budgets sync.Map
 	// durations are those of whole requests, sendDurations those from the end of the
@@ -92,9 +94,15 @@
 	inFlight atomic.Int64
 }
 
-// NewServer returns a Server that answers 503 until Configure is called.
+// configurationWait is how long a request waits for the first site document. A
+// process that has just started gets it within a moment, and the caller would lose
+// more by another try.
+const configurationWait = 500 * time.Millisecond
+
+// NewServer returns a Server that serves nothing until Configure is called: requests
+// wait for configurationWait and are then answered with 503.
 func NewServer(cfg Config) *Server {
-	s := &Server{cfg: cfg, drainStarted: make(chan struct{})}
+	s := &Server{cfg: cfg, drainStarted: make(chan struct{}), configured: make(chan struct{})}
 	s.unsentCtx, s.cancelUnsent = context.WithCancel(context.Background())
 	s.sentCtx, s.cancelSent = context.WithCancel(context.Background())
 	return s
@@ -109,6 +117,9 @@
 			return
 		}
 		if s.index.CompareAndSwap(current, x) {
+			if current == nil {
+				close(s.configured)
+			}
 			return
 		}
 	}
@@ -117,6 +128,23 @@
 // Index returns the current document, nil if there is none.
 func (s *Server) Index() *site.Index { return s.index.Load() }
 
+// awaitIndex returns the current document. It waits for the first one until
+// configurationWait has passed, ctx is done or the process drains; then it returns nil.
+func (s *Server) awaitIndex(ctx context.Context) *site.Index {
+	if x := s.index.Load(); x != nil {
+		return x
+	}
+	timer := time.NewTimer(configurationWait)
+	defer timer.Stop()
+	select {
+	case <-s.configured:
+	case <-ctx.Done():
+	case <-s.drainStarted:
+	case <-timer.C:
+	}
+	return s.index.Load()
+}
+
 // Drain closes each caller's connection after its next response. From then on
 // the Server rejects requests that would have to be held back, and streams that
 // would probably still run at end, when the process stops.
@@ -183,7 +211,7 @@
 // newRequest matches a request to its route and account and reads its body.
 func (s *Server) newRequest(r *http.Request) (*request, *failure) {
 	q := &request{server: s, http: r, start: time.Now()}
-	x := s.index.Load()
+	x := s.awaitIndex(r.Context())
 	if x == nil {
 		return q, unavailable("no configuration is known yet", defaultRetryAfter)
 	}
