platform, api/gateway, dispatch/batcher, fleet/link, operator/logs: one bad message or panic takes no process down

Cause: a request that asks for 2,000,000,000 pieces of a stage makes the owner of the service allocate a slot for each ("fatal error: out of memory" in TestTooManyPiecesFailTheirJob before), and the next owner after it. A panic in the work on one stream between processes, on one job of another process or on one stage ended the process.

TestPanicEndsItsStreamAlone and TestPanicInStageFailsItsRequest ended the test process before.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"runtime"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -269,8 +269,12 @@
 	return owners
 }
 
+// hostOf returns the host of an address, or the address itself if it has no port.
 func hostOf(address string) string {
-	host, _, _ := strings.Cut(address, ":")
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
 	return host
 }
 
--- a/internal/api/gateway/gateway_test.go
+++ b/internal/api/gateway/gateway_test.go
@@ -221,6 +221,22 @@
 	return resp, string(body), err
 }
 
+func TestTooManyPiecesAreRefused(t *testing.T) {
+	u := newUpstream(t, ok)
+	f := newFixture(t, document(testStages()...), u.URL)
+	f.runStage = succeed
+	resp, _, err := f.call(t, "/staged/x", "Pieces", "1,2000000000,0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := resp.StatusCode, http.StatusBadRequest; got != want {
+		t.Errorf("status %d, want %d", got, want)
+	}
+	if len(f.jobs) != 0 {
+		t.Errorf("%d stages were started, want 0", len(f.jobs))
+	}
+}
+
 func TestRetries(t *testing.T) {
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -223,6 +224,11 @@
 	if err != nil {
 		return q, &failure{status: http.StatusBadRequest, reason: err.Error()}
 	}
+	for _, n := range attributes.Pieces {
+		if n > batcher.MaxPieces {
+			return q, &failure{status: http.StatusBadRequest, reason: fmt.Sprintf("a stage of %d pieces is over the limit of %d; send less", n, batcher.MaxPieces)}
+		}
+	}
 	route, ok := x.Route(r.Host, r.URL.Path)
 	if !ok {
 		return q, &failure{status: http.StatusNotFound, reason: "no route for the host and path; check both"}
--- a/internal/api/gateway/stages.go
+++ b/internal/api/gateway/stages.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"hawthornhub.example/hawthornhub/internal/dispatch/batcher"
+	"hawthornhub.example/hawthornhub/internal/operator/logs"
 	"hawthornhub.example/hawthornhub/internal/serve/batching"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
@@ -105,12 +106,18 @@
 		}
 		go func() {
 			start := time.Now()
-			result := r.server.cfg.RunStage(r.ctx, job)
+			result := r.runStage(job)
 			r.events <- stageEvent{stage: i, result: result, took: time.Since(start)}
 		}()
 	}
 }
 
+// runStage runs the pieces of a stage. A panic fails the stage and not the process.
+func (r *stageRun) runStage(job batcher.Job) (result batcher.Result) {
+	defer logs.Recover(r.server.cfg.Log, "stage of request "+r.ID, func(err error) { result = batcher.Failed{Err: err} })
+	return r.server.cfg.RunStage(r.ctx, job)
+}
+
 // awaitRunning waits for the stages that still run after another one failed, and
 // keeps the handles of their results so that these can be released.
 func (r *stageRun) awaitRunning() {
--- a/internal/api/gateway/start_test.go
+++ b/internal/api/gateway/start_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"hawthornhub.example/hawthornhub/internal/dispatch/batcher"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
@@ -50,3 +51,23 @@
 		t.Errorf("%d runs, want 0", got)
 	}
 }
+
+// A panic in the work on a stage fails its request alone.
+func TestPanicInStageFailsItsRequest(t *testing.T) {
+	u := newUpstream(t, ok)
+	f := newFixture(t, document(testStages()...), u.URL)
+	f.runStage = func(batcher.Job) batcher.Result { panic("planted") }
+	resp, _, err := f.call(t, "/staged/x", "Pieces", "1,0,0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := resp.StatusCode, http.StatusServiceUnavailable; got != want {
+		t.Errorf("status %d, want %d", got, want)
+	}
+	if got := u.runs.Load(); got != 0 {
+		t.Errorf("%d runs, want 0", got)
+	}
+	if resp, _, err := f.call(t, "/safe/x"); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("the next request failed: %v %v", resp, err)
+	}
+}
--- a/internal/dispatch/batcher/batcher_test.go
+++ b/internal/dispatch/batcher/batcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -189,6 +190,18 @@
 	}
 }
 
+// A number of pieces out of all proportion fails its own job, and does not take the
+// memory of the process.
+func TestTooManyPiecesFailTheirJob(t *testing.T) {
+	o := newOwner(t, 1<<40, newFakeUpstream(t))
+	got, ok := o.Do(context.Background(), newJob("r", 1<<40)).(Failed)
+	var tooMany *TooManyPiecesError
+	if !ok || !errors.As(got.Err, &tooMany) {
+		t.Errorf("got %v, want a failure for too many pieces", got)
+	}
+	checkCompleted(t, o.Do(context.Background(), newJob("r", 2)), "r", 2)
+}
+
 func TestJobsShareCalls(t *testing.T) {
 	u := newFakeUpstream(t)
 	u.hold = make(chan struct{})
--- a/internal/dispatch/batcher/job.go
+++ b/internal/dispatch/batcher/job.go
@@ -1,6 +1,7 @@
 package batcher
 
 import (
+	"fmt"
 	"time"
 
 	"hawthornhub.example/hawthornhub/internal/dispatch/transport"
@@ -8,6 +9,18 @@
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
+// MaxPieces is the largest number of pieces of one stage. A larger one would take the
+// memory of the owner for a single request.
+const MaxPieces = 1 << 14
+
+// TooManyPiecesError reports a job with more than MaxPieces pieces.
+type TooManyPiecesError struct{ Pieces int }
+
+// Error returns the reason together with a remedy.
+func (e *TooManyPiecesError) Error() string {
+	return fmt.Sprintf("a stage of %d pieces is over the limit of %d; send less", e.Pieces, MaxPieces)
+}
+
 // Job asks for all pieces of one stage of one request.
 type Job struct {
 	RequestID string
--- a/internal/dispatch/batcher/remote.go
+++ b/internal/dispatch/batcher/remote.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
+	"hawthornhub.example/hawthornhub/internal/operator/logs"
 	"hawthornhub.example/hawthornhub/internal/serve/batching"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
@@ -169,7 +170,7 @@
 		defer cancel()
 		job := jobOf(m)
 		job.OnDispatched = func() { go s.sendDispatched(m.Id) }
-		r := s.owner.Do(ctx, job)
+		r := s.owner.doRecovered(ctx, job)
 		s.mu.Lock()
 		delete(s.cancels, m.Id)
 		s.mu.Unlock()
@@ -182,6 +183,12 @@
 	}()
 }
 
+// doRecovered is Do, but for a panic: it fails the job and not the process.
+func (o *Owner) doRecovered(ctx context.Context, job Job) (r Result) {
+	defer logs.Recover(o.cfg.Log, "pieces of request "+job.RequestID, func(err error) { r = Failed{Err: err} })
+	return o.Do(ctx, job)
+}
+
 // sendDispatched notifies the process that all pieces of a job are dispatched.
 func (s *peerSession) sendDispatched(id uint64) {
 	note := &fleetpb.PieceResult{Id: id, Dispatched: true}
--- a/internal/fleet/link/close_test.go
+++ b/internal/fleet/link/close_test.go
@@ -80,3 +80,31 @@
 		t.Errorf("closing took %v of processor time, want at most %v", got, limit)
 	}
 }
+
+// A handler that panics ends its stream, and neither the process nor the session.
+func TestPanicEndsItsStreamAlone(t *testing.T) {
+	key := []byte("a key for the tests")
+	s, err := Listen(ServerConfig{Address: "127.0.0.1:0", Auth: Auth{Key: key}, Handle: func(_ context.Context, st *Stream, first *fleetpb.Envelope) {
+		if first.GetWatch().GetVersion() == 1 {
+			panic("planted")
+		}
+		_ = st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_News{News: &fleetpb.News{}}})
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	pool := newPool(t, key)
+	call := func(version uint64) error {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_, err := pool.RoundTrip(ctx, s.Address(), &fleetpb.Envelope{Body: &fleetpb.Envelope_Watch{Watch: &fleetpb.Watch{Version: version}}})
+		return err
+	}
+	if err := call(1); err == nil {
+		t.Error("a call whose handler panicked was answered")
+	}
+	if err := call(2); err != nil {
+		t.Errorf("the next call failed: %v", err)
+	}
+}
--- a/internal/fleet/link/server.go
+++ b/internal/fleet/link/server.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/yamux"
 	"go.uber.org/zap"
 
+	"hawthornhub.example/hawthornhub/internal/operator/logs"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
 
@@ -152,6 +153,7 @@
 	defer s.wg.Done()
 	st := newStream(s.cfg.Local, conn, raw)
 	defer st.Close()
+	defer logs.Recover(s.cfg.Log, "stream", nil)
 	first, err := st.Recv()
 	if err != nil {
 		return
--- a/internal/fleet/replica/actor.go
+++ b/internal/fleet/replica/actor.go
@@ -34,10 +34,6 @@
 		fn   func(*fsm.Machine)
 		done chan<- error
 	}
-	readLocalMsg struct {
-		fn   func(*fsm.Machine)
-		done chan<- error
-	}
 	bootstrapMsg struct{ names map[uint64]string }
 	flushMsg     struct{}
 )
@@ -101,9 +97,6 @@
 		a.propose(msg)
 	case *readMsg:
 		a.read(msg)
-	case *readLocalMsg:
-		msg.fn(a.machine)
-		msg.done <- nil
 	case *bootstrapMsg:
 		a.bootstrap(msg.names)
 	case *flushMsg:
@@ -126,7 +119,7 @@
 		msg.done <- proposalResult{err: &DiskFullError{}}
 	case *readMsg:
 		msg.done <- &DiskFullError{}
-	case *readLocalMsg, *flushMsg, *actor.Stopped:
+	case *flushMsg, *actor.Stopped:
 		return true
 	}
 	return false
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -248,19 +248,6 @@
 	}
 }
 
-// ReadLocal calls fn with the local state, which may be stale. fn must not
-// retain the state machine, which is nil before the first snapshot.
-func (r *Replica) ReadLocal(ctx context.Context, fn func(*fsm.Machine)) error {
-	done := make(chan error, 1)
-	r.send(&readLocalMsg{fn: fn, done: done})
-	select {
-	case <-ctx.Done():
-		return fmt.Errorf("wait for replica: %w", ctx.Err())
-	case err := <-done:
-		return err
-	}
-}
-
 // Document returns the document and the last confirmation by a quorum, which is
 // set only while this replica is the leader.
 func (r *Replica) Document() *control.LeasedDocument { return r.document.Load() }
--- a/internal/serve/sweep/sweeper.go
+++ b/internal/serve/sweep/sweeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -102,13 +103,19 @@
 	}
 	out := old
 	for _, c := range candidates {
-		if !s.cfg.OwnerAlive(c.Owner) {
+		if !s.cfg.OwnerAlive(c.Owner) && !containsClaim(old, c) {
 			out = append(out, c)
 		}
 	}
 	return out[:min(len(out), maxClaimsPerSweep)]
 }
 
+func containsClaim(claims []*statepb.ClaimState, c *statepb.ClaimState) bool {
+	return slices.ContainsFunc(claims, func(other *statepb.ClaimState) bool {
+		return other.Account == c.Account && other.Key == c.Key
+	})
+}
+
 // removeExpiredKeys proposes a Sweep command, which removes the keys that are
 // past retention from the ledger.
 func (s *Sweeper) removeExpiredKeys(ctx context.Context) {
--- a/internal/state/fence/fence.go
+++ b/internal/state/fence/fence.go
@@ -42,17 +42,6 @@
 // All returns the kept orders, oldest first.
 func (i *Issuer) All() []*statepb.OrderState { return i.orders }
 
-// HighestNumber returns the highest number issued for an upstream, or 0.
-func HighestNumber(orders []*statepb.OrderState, upstream string) uint64 {
-	n := uint64(0)
-	for _, o := range orders {
-		if o.Order.Upstream == upstream {
-			n = max(n, o.Number)
-		}
-	}
-	return n
-}
-
 // StaleError rejects an order whose number is not higher than the last accepted
 // one.
 type StaleError struct{ Number, Last uint64 }
@@ -84,9 +73,6 @@
 	return Checker{last: max(c.last, number), ready: true}
 }
 
-// Ready reports whether the highest issued number was confirmed.
-func (c Checker) Ready() bool { return c.ready }
-
 // Accept returns the Checker to use after an order is accepted, or an error that
 // says why the order is rejected.
 func (c Checker) Accept(number uint64) (Checker, error) {
