fleet/watch: a drain that another control instance told of is told on before it is acknowledged

If the other one is lost before it has told them, they learn it by the digest only, up to a second after the acknowledgement. A repeated announcement was also acknowledged while watchers had not confirmed the first.

Change: such an upstream is told of when it announces itself here, and every announcement of a drain or leave waits for the watchers. TestDrainLearntElsewhereIsToldBeforeAcknowledged failed before (ready after the acknowledgement).

--- a/internal/fleet/watch/hub.go
+++ b/internal/fleet/watch/hub.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -58,7 +57,10 @@
 	// peers holds the listed processes by name: this instance, its watchers and the
 	// other voters.
 	peers map[string]*fleetpb.Peer
-	stats Stats
+	// untold holds the IDs of upstreams that this instance knows from another one to be
+	// draining or gone, and has not told its watchers of.
+	untold map[string]bool
+	stats  Stats
 	// departed holds when a name was removed from peers.
 	departed map[string]time.Time
 	done     chan struct{}
@@ -73,6 +75,7 @@
 		watchers:    make(map[*watcher]bool),
 		changes:     newChanges(),
 		peers:       make(map[string]*fleetpb.Peer),
+		untold:      make(map[string]bool),
 		departed:    make(map[string]time.Time),
 		done:        make(chan struct{}),
 	}
@@ -103,7 +106,7 @@
 func (h *Hub) Merge(n *fleetpb.News) {
 	now := time.Now()
 	for _, u := range n.Upstreams {
-		h.cfg.Table.Merge(catalog.FromProto(u, now))
+		h.mergeLearnt(catalog.FromProto(u, now))
 	}
 	for _, u := range n.Heard {
 		h.cfg.Table.Refresh(u.Id, u.Seq, now.Add(-time.Duration(u.AgeMs)*time.Millisecond))
@@ -111,28 +114,41 @@
 }
 
 // Announce applies the announcement that an upstream made to this instance. If it
-// changes anything, Announce returns once every watcher has acknowledged it or
-// ctx is done.
+// changes anything, or the upstream takes no calls any more, Announce returns once
+// every watcher has acknowledged that or ctx is done.
 func (h *Hub) Announce(ctx context.Context, u catalog.Upstream) catalog.Outcome {
-	outcome := h.mergeAnnounced(u)
-	switch outcome {
-	case catalog.Changed:
+	outcome, told := h.mergeAnnounced(u)
+	if told || u.State != catalog.Ready {
 		h.waitAcked(ctx)
-	case catalog.Refreshed:
+	}
+	if outcome == catalog.Refreshed {
 		h.noteHeard(u.ID)
-	case catalog.Stale:
 	}
 	return outcome
 }
 
-func (h *Hub) mergeAnnounced(u catalog.Upstream) catalog.Outcome {
+// mergeLearnt applies an announcement that was made to another control instance.
+func (h *Hub) mergeLearnt(u catalog.Upstream) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	outcome := h.cfg.Table.Merge(u)
-	if outcome == catalog.Changed {
+	if h.cfg.Table.Merge(u) == catalog.Changed && u.State != catalog.Ready {
+		h.untold[u.ID] = true
+	}
+}
+
+// mergeAnnounced applies an announcement that was made to this instance, and tells the
+// watchers if it changes anything or they were not told yet. It reports whether it has
+// told them.
+func (h *Hub) mergeAnnounced(u catalog.Upstream) (outcome catalog.Outcome, told bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	outcome = h.cfg.Table.Merge(u)
+	told = outcome == catalog.Changed || h.untold[u.ID]
+	if told {
+		delete(h.untold, u.ID)
 		h.publish(thing{kind: upstreamChange, id: u.ID})
 	}
-	return outcome
+	return outcome, told
 }
 
 // noteHeard records for the other control instances that an upstream is alive.
@@ -225,102 +241,6 @@
 	h.cfg.Log.Info("watcher left", zap.String("watcher", w.peer.GetName()), zap.Error(err))
 }
 
-// sendNews sends News until the watcher is removed or the stream fails.
-func (h *Hub) sendNews(st *link.Stream, w *watcher) error {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		n, wait := h.nextNews(w, time.Now())
-		if n != nil {
-			if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_News{News: n}}); err != nil {
-				return err
-			}
-			continue
-		}
-		timer.Reset(wait)
-		select {
-		case <-w.removed:
-			return nil
-		case <-w.wake:
-		case <-timer.C:
-		}
-	}
-}
-
-// nextNews returns the next News for a watcher, or nil and how long to wait for one
-// unless the watcher is woken before.
-func (h *Hub) nextNews(w *watcher, now time.Time) (*fleetpb.News, time.Duration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if w.outstanding {
-		return nil, probeInterval
-	}
-	if wait := newsInterval - now.Sub(w.sentAt); wait > 0 {
-		return nil, wait
-	}
-	things := h.changes.since(w.sent)
-	if idle := w.idleInterval() - now.Sub(w.sentAt); idle > 0 && !w.whole && len(w.buckets) == 0 && !slices.ContainsFunc(things, w.wants) {
-		return nil, idle
-	}
-	n := &fleetpb.News{Seq: h.changes.last, Incarnation: h.incarnation, Whole: w.whole, Digest: h.cfg.Table.Digests().Sum()}
-	for _, t := range things {
-		if w.wants(t) {
-			h.describe(n, t, w, now)
-		}
-	}
-	h.describeHeard(n, w, now)
-	h.describeBuckets(n, w, now)
-	h.stats = h.stats.withSent(n, w.recordSent(n, now))
-	return n, 0
-}
-
-// describe adds the present state of a thing to a News for a watcher. The caller
-// holds mu.
-func (h *Hub) describe(n *fleetpb.News, t thing, w *watcher, now time.Time) {
-	switch t.kind {
-	case upstreamChange:
-		if u, ok := h.cfg.Table.Get(t.id); ok {
-			n.Upstreams = append(n.Upstreams, u.Proto(now))
-		}
-	case peerChange:
-		switch p := h.peers[t.id]; {
-		case p == nil:
-			n.Gone = append(n.Gone, t.id)
-		case w.peer.GetRole() != RoleRelay || p.Role == RoleControl:
-			n.Peers = append(n.Peers, p)
-		}
-	case documentChange:
-		if h.siteDocument.GetVersion() > w.docVersion {
-			n.Adopted, w.docVersion = h.siteDocument, h.siteDocument.GetVersion()
-		}
-	}
-}
-
-// describeBuckets adds the upstreams in the buckets that the watcher asked for. The
-// caller holds mu.
-func (h *Hub) describeBuckets(n *fleetpb.News, w *watcher, now time.Time) {
-	if len(w.buckets) == 0 {
-		return
-	}
-	n.Buckets = slices.Sorted(maps.Keys(w.buckets))
-	for _, u := range h.cfg.Table.InBuckets(w.buckets) {
-		n.Upstreams = append(n.Upstreams, u.Proto(now))
-	}
-	w.buckets = nil
-}
-
-// describeHeard adds the upstreams that announced themselves without a change. The
-// caller holds mu.
-func (h *Hub) describeHeard(n *fleetpb.News, w *watcher, now time.Time) {
-	for id := range w.heard {
-		if u, ok := h.cfg.Table.Get(id); ok {
-			age := max(0, now.Sub(u.LastSeen).Milliseconds())
-			n.Heard = append(n.Heard, &fleetpb.Heard{Id: u.ID, Seq: u.Seq, AgeMs: uint32(age)})
-		}
-	}
-	clear(w.heard)
-}
-
 // addWatcher registers and lists a watcher. It starts from the changes that the
 // watcher has seen, or from the complete state if those are not known here.
 func (h *Hub) addWatcher(first *fleetpb.Watch) *watcher {
@@ -494,6 +414,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, id := range ids {
+		delete(h.untold, id)
 		h.changes.forget(thing{kind: upstreamChange, id: id})
 	}
 }
--- a/internal/fleet/watch/watch_test.go
+++ b/internal/fleet/watch/watch_test.go
@@ -126,6 +126,24 @@
 	return u.State
 }
 
+// A control instance that knows from another one that an upstream drains tells its own
+// watchers before it acknowledges that itself: the other one may have been lost before
+// it told them.
+func TestDrainLearntElsewhereIsToldBeforeAcknowledged(t *testing.T) {
+	c := newControlInstance(t)
+	e := newEntry(t, "e1", c.server.Address())
+	c.hub.Announce(context.Background(), upstream("u", catalog.Ready, 1))
+	eventually(t, "propagation of the upstream", func() bool { return e.state("u") == catalog.Ready })
+	for _, state := range []catalog.State{catalog.Draining, catalog.Left} {
+		learnt := upstream("u", state, uint64(state)+1)
+		c.hub.Merge(&fleetpb.News{Upstreams: []*fleetpb.UpstreamWord{learnt.Proto(time.Now())}})
+		c.hub.Announce(context.Background(), upstream("u", state, uint64(state)+2))
+		if got, want := e.state("u"), state; got != want {
+			t.Errorf("after the acknowledgement: %s, want %s", got, want)
+		}
+	}
+}
+
 // What one control instance has told its watchers, the others do not tell them again;
 // the digest shows to a watcher what it has missed, and only that is sent.
 func TestEachAnnouncementReachesWatchersOnce(t *testing.T) {
