--- a/internal/fleet/link/doc.go
+++ b/internal/fleet/link/doc.go
@@ -7,9 +7,10 @@
 // both directions, and each Envelope carries the sender's name, its hybrid
 // logical clock and its document index.
 //
-// The dialling side of a session sends heartbeats. A session whose heartbeat is
-// not answered in time is closed and replaced, because a connection can stop
-// delivering data permanently while the peer is still alive.
+// The dialling side of a session sends heartbeats. A session on which nothing arrives
+// for a while is closed and replaced, because a connection can stop delivering data
+// permanently while the peer is still alive. Any data counts: the answer to a heartbeat
+// may have to wait behind a large message.
 //
 // # Usage
 //
--- a/internal/fleet/watch/changes.go
+++ b/internal/fleet/watch/changes.go
@@ -12,70 +12,70 @@
 	documentChange
 )
 
-// thing is what a change is about: an upstream or a process by its ID or name, or the
-// site document.
-type thing struct {
+// key identifies an item of the hub's state: an upstream or a process by its ID or
+// name, or the site document.
+type key struct {
 	kind changeKind
 	id   string
 }
 
-// changes orders things by the number of their last change. A thing that changes
-// again moves to the end, so that the size is bounded by the number of things. The
-// zero value is not usable; it is not safe for concurrent use.
+// changes orders keys by the number of their last change. A key that changes again
+// moves to the end, so that the size is bounded by the number of keys. The zero value
+// is not usable; it is not safe for concurrent use.
 type changes struct {
-	// order holds the numbered things, the last one changed at its back.
+	// order holds a change for each key, the last one at its back.
 	order *list.List
-	// byThing holds the element of each thing in order.
-	byThing map[thing]*list.Element
+	// byKey holds the element of each key in order.
+	byKey map[key]*list.Element
 	// last is the number of the last change.
 	last uint64
-	// forgotten is the number of the last change of the things that were removed.
+	// forgotten is the number of the last change of the keys that were removed.
 	forgotten uint64
 }
 
-// numbered is a thing with the number of its last change.
-type numbered struct {
-	thing
+// change is the last change of a key.
+type change struct {
+	key key
 	seq uint64
 }
 
 func newChanges() *changes {
-	return &changes{order: list.New(), byThing: make(map[thing]*list.Element)}
+	return &changes{order: list.New(), byKey: make(map[key]*list.Element)}
 }
 
-// add records a change of a thing.
-func (c *changes) add(t thing) {
+// add records a change of a key.
+func (c *changes) add(k key) {
 	c.last++
-	if e := c.byThing[t]; e != nil {
+	if e := c.byKey[k]; e != nil {
 		c.order.Remove(e)
 	}
-	c.byThing[t] = c.order.PushBack(numbered{thing: t, seq: c.last})
+	c.byKey[k] = c.order.PushBack(change{key: k, seq: c.last})
 }
 
-// forget removes a thing. Who has no change since then cannot be told any more that
-// the thing is gone, see holdsSince.
-func (c *changes) forget(t thing) {
-	e := c.byThing[t]
+// forget removes a key. A watcher that has not seen its last change cannot be told of
+// it any more, see holdsSince.
+func (c *changes) forget(k key) {
+	e := c.byKey[k]
 	if e == nil {
 		return
 	}
-	c.forgotten = max(c.forgotten, e.Value.(numbered).seq)
+	c.forgotten = max(c.forgotten, e.Value.(change).seq)
 	c.order.Remove(e)
-	delete(c.byThing, t)
+	delete(c.byKey, k)
 }
 
 // holdsSince reports whether since returns all changes after seq.
 func (c *changes) holdsSince(seq uint64) bool { return seq >= c.forgotten && seq <= c.last }
 
-// since returns the things that changed after seq, the last one changed first.
-func (c *changes) since(seq uint64) []thing {
-	var out []thing
+// since returns the keys that changed after seq, the last one changed first.
+func (c *changes) since(seq uint64) []key {
+	var out []key
 	for e := c.order.Back(); e != nil; e = e.Prev() {
-		n := e.Value.(numbered)
-		if n.seq <= seq {
+		ch := e.Value.(change)
+		if ch.seq <= seq {
 			break
 		}
-		out = append(out, n.thing)
+		out = append(out, ch.key)
 	}
 	return out
 }
--- a/internal/fleet/watch/changes_test.go
+++ b/internal/fleet/watch/changes_test.go
@@ -14,15 +14,15 @@
 func TestMain(m *testing.M) { os.Exit(seed.Run(m)) }
 
 // Whoever has seen the changes up to some number, and asks for those since then, is
-// told of every thing that changed later, once; of no other, unless things were
-// forgotten that it has to be told of as a whole.
+// told of every key that changed later, once, and of no other. If a key was forgotten
+// since, that is reported.
 func TestChangesSince(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := newChanges()
-		last := make(map[thing]uint64)
+		last := make(map[key]uint64)
 		forgotten := uint64(0)
 		for range rapid.IntRange(1, 60).Draw(t, "changes") {
-			x := thing{kind: peerChange, id: fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "thing"))}
+			x := key{kind: peerChange, id: fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "key"))}
 			if rapid.IntRange(0, 7).Draw(t, "forget") == 0 {
 				forgotten = max(forgotten, last[x])
 				c.forget(x)
@@ -36,7 +36,7 @@
 		if got, want := c.holdsSince(seq), seq >= forgotten; got != want {
 			t.Fatalf("changes since %d are held: %t, want %t", seq, got, want)
 		}
-		got := make(map[thing]int)
+		got := make(map[key]int)
 		for _, x := range c.since(seq) {
 			got[x]++
 		}
--- a/internal/fleet/watch/doc.go
+++ b/internal/fleet/watch/doc.go
@@ -4,17 +4,20 @@
 //
 // A Hub runs on each control instance; a Follower keeps one stream to every control
 // instance it knows of. The hub numbers its changes and remembers the number of the
-// last change of each thing, not the changes themselves. A watcher has one message at
-// a time: what changes until it acknowledges shares the next one, which holds the
-// newest state of each thing. So a slow watcher gets fewer messages instead of a
-// longer queue, and a watcher that returns gets what changed while it was away.
+// last change of each upstream, process and document, not the changes themselves. A
+// watcher has one message at a time: what changes until it acknowledges shares the
+// next one, which holds the newest state of each. So a slow watcher gets fewer
+// messages instead of a longer queue, and a watcher that returns gets what changed
+// while it was away.
 //
 // Messages may arrive in any order and more than once, as both ends merge them:
-// upstreams as package catalog does, site documents by version. Control instances
-// follow each other too, so that an announcement made to one reaches the watchers of
-// all. Only they tell each other which upstreams are alive; other watchers are told
-// when one falls silent and when it is heard again, and take an upstream for silent
-// if no control instance that they are connected to hears it.
+// upstreams as package catalog does, site documents by version. A hub passes on what
+// upstreams announce to it, and other hubs are watchers too. What a watcher lacks all
+// the same, it finds by comparing the digest in each message with its own.
+//
+// Only hubs tell each other which upstreams are alive. Other watchers are told when one
+// falls silent and when it is heard again, and take an upstream for silent if no
+// control instance that they are connected to hears it.
 //
 // # Usage
 //
--- a/internal/fleet/watch/hub.go
+++ b/internal/fleet/watch/hub.go
@@ -97,7 +97,7 @@
 		return
 	}
 	h.siteDocument = a
-	h.publish(thing{kind: documentChange})
+	h.publish(key{kind: documentChange})
 }
 
 // Merge applies the upstreams in a News message of another control instance. They are
@@ -146,7 +146,7 @@
 	told = outcome == catalog.Changed || h.untold[u.ID]
 	if told {
 		delete(h.untold, u.ID)
-		h.publish(thing{kind: upstreamChange, id: u.ID})
+		h.publish(key{kind: upstreamChange, id: u.ID})
 	}
 	return outcome, told
 }
@@ -167,10 +167,10 @@
 
 // publish records a change and wakes the watchers that are told of it. The caller
 // holds mu.
-func (h *Hub) publish(t thing) {
-	h.changes.add(t)
+func (h *Hub) publish(k key) {
+	h.changes.add(k)
 	for w := range h.watchers {
-		if w.wants(t) {
+		if w.wants(k) {
 			w.wakeUp()
 		}
 	}
@@ -186,7 +186,7 @@
 		h.peers[name] = p
 		delete(h.departed, name)
 	}
-	h.publish(thing{kind: peerChange, id: name})
+	h.publish(key{kind: peerChange, id: name})
 }
 
 // waitAcked returns once all watchers have acknowledged everything published
@@ -344,7 +344,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, id := range h.cfg.Table.UpdateSilence(now) {
-		h.publish(thing{kind: upstreamChange, id: id})
+		h.publish(key{kind: upstreamChange, id: id})
 	}
 	h.listVoters(voters)
 	for w := range h.watchers {
@@ -389,7 +389,7 @@
 func (h *Hub) forgetDeparted(now time.Time) {
 	for name, at := range h.departed {
 		if now.Sub(at) > departedRetention {
-			h.changes.forget(thing{kind: peerChange, id: name})
+			h.changes.forget(key{kind: peerChange, id: name})
 			delete(h.departed, name)
 		}
 	}
@@ -415,7 +415,7 @@
 	defer h.mu.Unlock()
 	for _, id := range ids {
 		delete(h.untold, id)
-		h.changes.forget(thing{kind: upstreamChange, id: id})
+		h.changes.forget(key{kind: upstreamChange, id: id})
 	}
 }
 
--- a/internal/fleet/watch/news.go
+++ b/internal/fleet/watch/news.go
@@ -42,14 +42,14 @@
 	if wait := newsInterval - now.Sub(w.sentAt); wait > 0 {
 		return nil, wait
 	}
-	things := h.changes.since(w.sent)
-	if idle := w.idleInterval() - now.Sub(w.sentAt); idle > 0 && !w.whole && len(w.buckets) == 0 && !slices.ContainsFunc(things, w.wants) {
+	changed := h.changes.since(w.sent)
+	if idle := w.idleInterval() - now.Sub(w.sentAt); idle > 0 && !w.whole && len(w.buckets) == 0 && !slices.ContainsFunc(changed, w.wants) {
 		return nil, idle
 	}
 	n := &fleetpb.News{Seq: h.changes.last, Incarnation: h.incarnation, Whole: w.whole, Digest: h.cfg.Table.Digests().Sum()}
-	for _, t := range things {
-		if w.wants(t) {
-			h.describe(n, t, w, now)
+	for _, k := range changed {
+		if w.wants(k) {
+			h.describe(n, k, w, now)
 		}
 	}
 	h.describeHeard(n, w, now)
@@ -58,18 +58,18 @@
 	return n, 0
 }
 
-// describe adds the present state of a thing to a News for a watcher. The caller
+// describe adds the present state of a key to a News for a watcher. The caller
 // holds mu.
-func (h *Hub) describe(n *fleetpb.News, t thing, w *watcher, now time.Time) {
-	switch t.kind {
+func (h *Hub) describe(n *fleetpb.News, k key, w *watcher, now time.Time) {
+	switch k.kind {
 	case upstreamChange:
-		if u, ok := h.cfg.Table.Get(t.id); ok {
+		if u, ok := h.cfg.Table.Get(k.id); ok {
 			n.Upstreams = append(n.Upstreams, u.Proto(now))
 		}
 	case peerChange:
-		switch p := h.peers[t.id]; {
+		switch p := h.peers[k.id]; {
 		case p == nil:
-			n.Gone = append(n.Gone, t.id)
+			n.Gone = append(n.Gone, k.id)
 		case w.peer.GetRole() != RoleRelay || p.Role == RoleControl:
 			n.Peers = append(n.Peers, p)
 		}
--- a/internal/fleet/watch/watcher.go
+++ b/internal/fleet/watch/watcher.go
@@ -56,8 +56,8 @@
 }
 
 // wants reports whether a watcher of its role is told of a kind of change.
-func (w *watcher) wants(t thing) bool {
-	return w.peer.GetRole() != RoleRelay || t.kind == peerChange
+func (w *watcher) wants(k key) bool {
+	return w.peer.GetRole() != RoleRelay || k.kind == peerChange
 }
 
 // idleInterval returns how long after the last News the next one is due without a
