state/raft, fleet/watch, api/health: logs and metrics that tell why a document or a drain is late

- gateways count News and documents received, copies included, and log size and decoding time of a document
- one line names the announcement and all watchers that lack it, in place of one line a watcher that does not name it
- the line on a changed role has its cause
- /metrics begins with the product's own metrics: a scraper that keeps the first 4 kB saw those of the Go runtime only, which are left out now

No decision changes.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -190,7 +190,8 @@
 		return
 	}
 	g.server.Configure(site.NewIndex(d))
-	g.log.Info("site document in force", zap.Uint64("version", d.Version), zap.Int("routes", len(d.Routes)), zap.Uint64("index", n.Adopted.Index))
+	g.log.Info("site document in force", zap.Uint64("version", d.Version), zap.Int("routes", len(d.Routes)), zap.Uint64("index", n.Adopted.Index),
+		zap.Int("bytes", len(n.Adopted.Text)), zap.Duration("decoding", time.Since(now)))
 }
 
 func (g *gatewayProcess) onUpstreamChange(before, after catalog.Upstream) {
@@ -296,6 +297,11 @@
 	scope.Gauge("upstream_connections").Update(float64(open))
 	scope.Gauge("upstream_dials").Update(float64(dialled))
 	scope.Gauge("control_connected").Update(float64(g.follower.Load().ConnectedCount()))
+	received := g.follower.Load().Received()
+	scope.Gauge("news_received").Update(float64(received.Messages))
+	scope.Gauge("news_received_bytes").Update(float64(received.Bytes))
+	scope.Gauge("documents_received").Update(float64(received.Documents))
+	scope.Gauge("document_received_bytes").Update(float64(received.DocumentBytes))
 	scope.Gauge("entries").Update(float64(g.entryCount()))
 	if x := g.server.Index(); x != nil {
 		scope.Gauge("document_version").Update(float64(x.Version))
--- a/internal/api/health/health.go
+++ b/internal/api/health/health.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -35,7 +37,11 @@
 
 // New returns a Health that is not ready until SetReady is called.
 func New(cfg Config) *Health {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// Scrapers limit the size of a response; the metrics of the Go runtime, which the
+	// default registry holds too, would come before the product's own.
+	registry := prom.NewRegistry()
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "hawthornhub_" + cfg.Role,
 		Tags:            map[string]string{"process": cfg.Process},
--- a/internal/api/registry/server.go
+++ b/internal/api/registry/server.go
@@ -83,7 +83,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, propagationTimeout)
 	defer cancel()
-	outcome := s.cfg.Hub.Announce(ctx, u)
+	outcome, untold := s.cfg.Hub.Announce(ctx, u)
+	if len(untold) > 0 {
+		s.cfg.Log.Warn("announcement acknowledged before all watchers know of it",
+			zap.String("upstream", u.ID), zap.Stringer("state", u.State), zap.Strings("lacking", untold))
+	}
 	if outcome != catalog.Refreshed {
 		s.cfg.Log.Info("upstream announced itself",
 			zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("address", u.Address),
--- a/internal/fleet/replica/actor.go
+++ b/internal/fleet/replica/actor.go
@@ -421,7 +421,7 @@
 	a.replica.status.Store(status)
 	if state.Role != a.lastRole {
 		a.cfg.Timeline.Add("elect", "", fmt.Sprintf("%s in term %d", state.Role, state.Term))
-		a.cfg.Log.Info("role", zap.Stringer("role", state.Role), zap.Uint64("term", state.Term))
+		a.cfg.Log.Info("role", zap.Stringer("role", state.Role), zap.Stringer("cause", state.Cause), zap.Uint64("term", state.Term))
 		a.lastRole = state.Role
 	}
 }
--- a/internal/fleet/watch/follower.go
+++ b/internal/fleet/watch/follower.go
@@ -86,6 +86,8 @@
 	comparedAt time.Time
 	// silent holds the IDs last passed to OnSilence.
 	silent map[string]bool
+	// received counts what has come from all control instances.
+	received Received
 	// view is the present list of processes, nil after a change.
 	view atomic.Pointer[View]
 	// self is the link address of this process, which is never dialled.
@@ -133,6 +135,13 @@
 	return v
 }
 
+// Received returns what has come from all control instances so far.
+func (f *Follower) Received() Received {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.received
+}
+
 // ConnectedCount returns the number of connected control instances.
 func (f *Follower) ConnectedCount() int { return len(f.Controls()) }
 
@@ -320,6 +329,7 @@
 	}
 	s.connected, s.stream = true, st
 	s.apply(n)
+	f.received = f.received.with(n)
 	if joined || len(n.Peers) > 0 || len(n.Gone) > 0 {
 		f.view.Store(nil)
 	}
--- a/internal/fleet/watch/hub.go
+++ b/internal/fleet/watch/hub.go
@@ -115,16 +115,17 @@
 
 // Announce applies the announcement that an upstream made to this instance. If it
 // changes anything, or the upstream takes no calls any more, Announce returns once
-// every watcher has acknowledged that or ctx is done.
-func (h *Hub) Announce(ctx context.Context, u catalog.Upstream) catalog.Outcome {
+// every watcher has acknowledged that or ctx is done. It returns the names of the
+// watchers that have not.
+func (h *Hub) Announce(ctx context.Context, u catalog.Upstream) (outcome catalog.Outcome, untold []string) {
 	outcome, told := h.mergeAnnounced(u)
 	if told || u.State != catalog.Ready {
-		h.waitAcked(ctx)
+		untold = h.waitAcked(ctx)
 	}
 	if outcome == catalog.Refreshed {
 		h.noteHeard(u.ID)
 	}
-	return outcome
+	return outcome, untold
 }
 
 // mergeLearnt applies an announcement that was made to another control instance.
@@ -190,8 +191,8 @@
 }
 
 // waitAcked returns once all watchers have acknowledged everything published
-// before the call, or ctx is done.
-func (h *Hub) waitAcked(ctx context.Context) {
+// before the call, or ctx is done. It returns the names of those that have not.
+func (h *Hub) waitAcked(ctx context.Context) []string {
 	h.mu.Lock()
 	seq := h.changes.last
 	waiting := make([]*watcher, 0, len(h.watchers))
@@ -201,26 +202,29 @@
 		}
 	}
 	h.mu.Unlock()
+	var untold []string
 	for _, w := range waiting {
-		h.waitWatcherAcked(ctx, w, seq)
+		if !h.waitWatcherAcked(ctx, w, seq) {
+			untold = append(untold, w.peer.GetName())
+		}
 	}
+	return untold
 }
 
-// waitWatcherAcked returns once a watcher has acknowledged seq or is removed, or
-// ctx is done.
-func (h *Hub) waitWatcherAcked(ctx context.Context, w *watcher, seq uint64) {
+// waitWatcherAcked returns true once a watcher has acknowledged seq or is removed, and
+// false if ctx is done before.
+func (h *Hub) waitWatcherAcked(ctx context.Context, w *watcher, seq uint64) bool {
 	for {
 		h.mu.Lock()
 		done := w.acked >= seq || !h.watchers[w]
 		ackSignal := w.ackSignal
 		h.mu.Unlock()
 		if done {
-			return
+			return true
 		}
 		select {
 		case <-ctx.Done():
-			h.cfg.Log.Warn("watcher did not acknowledge a change in time", zap.String("watcher", w.peer.GetName()))
-			return
+			return false
 		case <-ackSignal:
 		}
 	}
--- a/internal/fleet/watch/stats.go
+++ b/internal/fleet/watch/stats.go
@@ -1,6 +1,10 @@
 package watch
 
-import "hawthornhub.example/hawthornhub/internal/wire/fleetpb"
+import (
+	"google.golang.org/protobuf/proto"
+
+	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
+)
 
 // Stats are figures of a Hub since its start.
 type Stats struct {
@@ -21,3 +25,23 @@
 	}
 	return s
 }
+
+// Received are figures of a Follower since its start.
+type Received struct {
+	// Messages is the number of News messages, and Bytes their total size.
+	Messages, Bytes int64
+	// Documents is the number of site documents, including those that were held
+	// already, and DocumentBytes their total size.
+	Documents, DocumentBytes int64
+}
+
+// with returns the figures after a News.
+func (r Received) with(n *fleetpb.News) Received {
+	r.Messages++
+	r.Bytes += int64(proto.Size(n))
+	if n.Adopted != nil {
+		r.Documents++
+		r.DocumentBytes += int64(len(n.Adopted.Text))
+	}
+	return r
+}
--- a/internal/fleet/watch/watch_test.go
+++ b/internal/fleet/watch/watch_test.go
@@ -267,8 +267,8 @@
 	defer pool.Close()
 	defer f.Close()
 	eventually(t, "return of the lost upstream", func() bool { _, ok := c.table.Get("u"); return ok })
-	if got, want := c.hub.Announce(context.Background(), upstream("u", catalog.Ready, 2)), catalog.Stale; got != want {
-		t.Errorf("late announcement after a restart is %s, want %s", got, want)
+	if got, _ := c.hub.Announce(context.Background(), upstream("u", catalog.Ready, 2)); got != catalog.Stale {
+		t.Errorf("late announcement after a restart is %s, want %s", got, catalog.Stale)
 	}
 }
 
--- a/internal/state/raft/election.go
+++ b/internal/state/raft/election.go
@@ -33,7 +33,7 @@
 		}
 	}
 	if !n.hasQuorum(func(id uint64) bool { return id == n.cfg.ID || n.RecentlyActive(id) }) {
-		n.becomeFollower(n.term, 0)
+		n.becomeFollower(QuorumSilent, n.term, 0)
 		return
 	}
 	if n.transferTicksLeft > 0 {
@@ -51,14 +51,14 @@
 
 // becomeFollower enters a term as a follower; leader 0 is unknown. A former
 // leader rejects its pending reads and drops its uncommitted proposals.
-func (n *Node) becomeFollower(term, leader uint64) {
+func (n *Node) becomeFollower(cause Cause, term, leader uint64) {
 	wasLeader := n.role == Leader
 	newTerm := term != n.term
 	if newTerm {
 		n.term = term
 		n.votedFor = 0
 	}
-	n.role = Follower
+	n.role, n.cause = Follower, cause
 	n.leader = leader
 	n.votes = nil
 	n.transferTarget = 0
@@ -95,7 +95,7 @@
 // preCampaign asks the voters whether they would vote for this replica, without
 // incrementing the term.
 func (n *Node) preCampaign() {
-	n.role = PreCandidate
+	n.role, n.cause = PreCandidate, LeaderSilent
 	n.leader = 0
 	n.votes = map[uint64]bool{n.cfg.ID: true}
 	n.resetElectionTimeout()
@@ -109,7 +109,10 @@
 // campaign starts an election in a new term. A forced election is part of a
 // leadership transfer; voters take part although the leader is active.
 func (n *Node) campaign(forced bool) {
-	n.role = Candidate
+	n.role, n.cause = Candidate, VotesGranted
+	if forced {
+		n.cause = LeadershipOffered
+	}
 	n.term++
 	n.votedFor = n.cfg.ID
 	n.leader = 0
@@ -146,7 +149,7 @@
 // becomeLeader takes over leadership and appends an empty entry; committing it
 // also commits the entries of earlier terms.
 func (n *Node) becomeLeader() {
-	n.role = Leader
+	n.role, n.cause = Leader, VotesGranted
 	n.leader = n.cfg.ID
 	n.electionElapsed = 0
 	n.heartbeatElapsed = 0
--- a/internal/state/raft/node.go
+++ b/internal/state/raft/node.go
@@ -34,6 +34,49 @@
 	}
 }
 
+// Cause tells why a replica has its role.
+type Cause int
+
+// The causes of a role.
+const (
+	// Started replicas have not changed their role yet.
+	Started Cause = iota
+	// LeaderSilent replicas heard nothing from a leader for the election timeout.
+	LeaderSilent
+	// VotesGranted replicas got the votes or pre-votes of a majority.
+	VotesGranted
+	// LeadershipOffered replicas were told by the leader to take over.
+	LeadershipOffered
+	// QuorumSilent replicas were the leader and heard nothing from a majority.
+	QuorumSilent
+	// NewerTerm replicas learnt of a newer term.
+	NewerTerm
+	// LeaderHeard replicas heard from the leader of their term.
+	LeaderHeard
+)
+
+// String returns the cause in words.
+func (c Cause) String() string {
+	switch c {
+	case Started:
+		return "started"
+	case LeaderSilent:
+		return "leader silent"
+	case VotesGranted:
+		return "votes granted"
+	case LeadershipOffered:
+		return "leadership offered"
+	case QuorumSilent:
+		return "quorum silent"
+	case NewerTerm:
+		return "newer term"
+	case LeaderHeard:
+		return "leader heard"
+	default:
+		return fmt.Sprintf("cause(%d)", int(c))
+	}
+}
+
 // Config configures a Node.
 type Config struct {
 	// ID is the disk identity of this replica, never zero.
@@ -102,6 +145,7 @@
 type Node struct {
 	cfg      Config
 	role     Role
+	cause    Cause
 	term     uint64
 	votedFor uint64
 	// leader is the disk identity of the current leader; 0 if unknown.
@@ -189,8 +233,10 @@
 
 // State is a copy of the main fields of a Node, for inspection.
 type State struct {
-	ID        uint64
-	Role      Role
+	ID   uint64
+	Role Role
+	// Cause tells why the replica has its role.
+	Cause     Cause
 	Term      uint64
 	Leader    uint64
 	Commit    uint64
@@ -203,6 +249,7 @@
 	return State{
 		ID:        n.cfg.ID,
 		Role:      n.role,
+		Cause:     n.cause,
 		Term:      n.term,
 		Leader:    n.leader,
 		Commit:    n.commitIndex,
--- a/internal/state/raft/replicate.go
+++ b/internal/state/raft/replicate.go
@@ -18,7 +18,7 @@
 		return
 	case statepb.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY:
 		if m.Reject && m.Term > n.term {
-			n.becomeFollower(m.Term, 0)
+			n.becomeFollower(NewerTerm, m.Term, 0)
 			return
 		}
 		n.handlePreVoteReply(m)
@@ -59,7 +59,7 @@
 		if isVote && !m.Forced && n.leaderActive() {
 			return false
 		}
-		n.becomeFollower(m.Term, 0)
+		n.becomeFollower(NewerTerm, m.Term, 0)
 		return true
 	}
 	if m.Term == n.term {
@@ -75,7 +75,7 @@
 // short startup election timeout.
 func (n *Node) followLeader(m *statepb.Message) {
 	if n.role != Follower {
-		n.becomeFollower(m.Term, m.From)
+		n.becomeFollower(LeaderHeard, m.Term, m.From)
 	}
 	n.leader = m.From
 	n.electionElapsed = 0
