--- /dev/null
+++ b/internal/api/registry/server_test.go
@@ -0,0 +1,137 @@
+package registry
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"go.uber.org/zap"
+
+	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
+	"hawthornhub.example/hawthornhub/internal/fleet/control"
+	"hawthornhub.example/hawthornhub/internal/fleet/link"
+	"hawthornhub.example/hawthornhub/internal/fleet/replica"
+	"hawthornhub.example/hawthornhub/internal/fleet/timeline"
+	"hawthornhub.example/hawthornhub/internal/fleet/watch"
+	"hawthornhub.example/hawthornhub/internal/state/raft"
+	"hawthornhub.example/hawthornhub/internal/state/site"
+	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
+)
+
+// waitLimit bounds each wait for an event; a test that reaches it fails.
+const waitLimit = 10 * time.Second
+
+var auth = link.Auth{Key: []byte("a key for the tests")}
+
+// instance is a control instance alone, with its replica and one entry that follows
+// it.
+type instance struct {
+	server *Server
+	entry  *watch.Follower
+	// delay is how long the entry takes to apply a News, in nanoseconds.
+	delay atomic.Int64
+	// version is that of the site document that the entry has applied.
+	version atomic.Uint64
+}
+
+func newInstance(t *testing.T) *instance {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := ln.Addr().String()
+	table := catalog.New(catalog.Config{})
+	hub := watch.NewHub(watch.HubConfig{
+		Self:   func() *fleetpb.Peer { return &fleetpb.Peer{Name: address, Role: watch.RoleControl, Link: address} },
+		Table:  table,
+		Voters: func() []string { return nil },
+		Log:    zap.NewNop(),
+	})
+	pool := link.NewPool(link.PoolConfig{Auth: auth})
+	system := actor.NewActorSystem()
+	r, err := replica.Start(replica.Config{
+		Name: address, DataDir: t.TempDir(), Peers: []control.Address{{Name: address, Link: address}},
+		OnSiteDocument: hub.SetSiteDocument, Tick: 10 * time.Millisecond, SnapshotEntries: 64,
+		Pool: pool, System: system, Timeline: timeline.NewRecorder(timeline.Config{}), Log: zap.NewNop(),
+		Fatal: func(err error) { t.Error(err) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	linkServer, err := link.Listen(link.ServerConfig{Listener: ln, Auth: auth, Handle: func(ctx context.Context, st *link.Stream, first *fleetpb.Envelope) {
+		hub.Serve(ctx, st, first.GetWatch())
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	i := &instance{}
+	i.server = New(Config{Hub: hub, Replica: r, Pool: pool, Decode: decode, Log: zap.NewNop()})
+	i.entry = watch.NewFollower(watch.FollowerConfig{
+		Pool: pool, Seeds: []string{address},
+		WatchRequest: func() *fleetpb.Watch {
+			return &fleetpb.Watch{Self: &fleetpb.Peer{Name: "e", Role: watch.RoleEntry, Link: "e"}}
+		},
+		OnNews: func(n *fleetpb.News) {
+			time.Sleep(time.Duration(i.delay.Load()))
+			i.version.Store(max(i.version.Load(), n.Adopted.GetVersion()))
+		},
+		Log: zap.NewNop(),
+	})
+	t.Cleanup(func() {
+		i.entry.Close()
+		linkServer.Close()
+		hub.Close()
+		r.Close()
+		pool.Close()
+		system.Shutdown()
+	})
+	i.await(t, "a leader and a watcher", func() bool { return r.Status().Role == raft.Leader && hub.WatcherCount() == 1 })
+	return i
+}
+
+func (i *instance) await(t *testing.T, event string, done func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(waitLimit); !done(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("no %s in time", event)
+		}
+	}
+}
+
+// decode takes every text for a document of version 7.
+func decode([]byte) (*site.Document, error) {
+	return &site.Document{Version: 7, Services: []site.Service{{Name: "s"}}}, nil
+}
+
+func upstream(state catalog.State, seq uint64) catalog.Upstream {
+	return catalog.Upstream{ID: "u", Service: "s", Address: "u:1", State: state, StartTimeMs: 1, Seq: seq, LastSeen: time.Now()}
+}
+
+func TestDrainIsAcknowledgedBeforeAnEntryKnows(t *testing.T) {
+	i := newInstance(t)
+	ctx := context.Background()
+	if err := i.server.Announce(ctx, upstream(catalog.Ready, 1)); err != nil {
+		t.Fatal(err)
+	}
+	i.delay.Store(int64(propagationTimeout + 200*time.Millisecond))
+	for seq, state := range []catalog.State{catalog.Draining, catalog.Left} {
+		if err := i.server.Announce(ctx, upstream(state, uint64(seq+2))); err == nil {
+			t.Errorf("%s was acknowledged although the entry has not seen it", state)
+		}
+	}
+	i.delay.Store(0)
+	i.await(t, "acknowledgement once the entry knows", func() bool { return i.server.Announce(ctx, upstream(catalog.Left, 9)) == nil })
+}
+
+func TestDocumentIsAcknowledgedBeforeEntriesApplyIt(t *testing.T) {
+	i := newInstance(t)
+	i.delay.Store(int64(300 * time.Millisecond))
+	i.await(t, "acknowledgement of the document", func() bool { return i.server.PutDocument(context.Background(), []byte("text")) == nil })
+	if got, want := i.version.Load(), uint64(7); got != want {
+		t.Errorf("version %d in force when version %d was acknowledged", got, want)
+	}
+}
--- a/internal/fleet/replica/open_test.go
+++ b/internal/fleet/replica/open_test.go
@@ -6,8 +6,11 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
+
 	"hawthornhub.example/hawthornhub/internal/fleet/control"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/state/fsm"
@@ -144,3 +147,36 @@
 		t.Errorf("site document version %d after the loss of two disks, want %d", got, want)
 	}
 }
+
+func TestDocumentSentAgainIsAppendedAgain(t *testing.T) {
+	g := newGroup(t)
+	leader := g.leader()
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	propose := func() {
+		if _, err := leader.replica.Propose(ctx, adoptCommand(7)); err != nil {
+			t.Errorf("adopt: %v", err)
+		}
+	}
+	propose()
+	before := leader.replica.Status().LastIndex
+	for range 5 {
+		propose()
+	}
+	if got, want := leader.replica.Status().LastIndex, before; got != want {
+		t.Errorf("the log ends at %d after the same document was sent again, want %d", got, want)
+	}
+	next := adoptCommand(8)
+	var wg sync.WaitGroup
+	for range 5 {
+		wg.Go(func() {
+			if _, err := leader.replica.Propose(ctx, proto.Clone(next).(*statepb.Command)); err != nil {
+				t.Errorf("adopt: %v", err)
+			}
+		})
+	}
+	wg.Wait()
+	if got, want := leader.replica.Status().LastIndex, before+1; got != want {
+		t.Errorf("the log ends at %d after one document was sent five times at once, want %d", got, want)
+	}
+}
--- a/internal/fleet/watch/watch_test.go
+++ b/internal/fleet/watch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -35,11 +36,20 @@
 }
 
 func newControlInstanceAt(t *testing.T, listenAddress string) *controlInstance {
+	t.Helper()
+	ln, err := net.Listen("tcp", listenAddress)
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	return newControlInstanceOn(t, ln)
+}
+
+func newControlInstanceOn(t *testing.T, ln net.Listener) *controlInstance {
 	t.Helper()
 	c := &controlInstance{table: catalog.New(catalog.Config{})}
 	var err error
 	ready := make(chan struct{})
-	c.server, err = link.Listen(link.ServerConfig{Address: listenAddress, Auth: auth, Handle: func(ctx context.Context, st *link.Stream, first *fleetpb.Envelope) {
+	c.server, err = link.Listen(link.ServerConfig{Listener: ln, Auth: auth, Handle: func(ctx context.Context, st *link.Stream, first *fleetpb.Envelope) {
 		<-ready
 		c.hub.Serve(ctx, st, first.GetWatch())
 	}})
--- a/internal/state/raft/node_test.go
+++ b/internal/state/raft/node_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"google.golang.org/protobuf/proto"
+
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 )
 
@@ -280,3 +282,22 @@
 		t.Errorf("a voter that heard from a leader sends %d pre-vote requests within 9 ticks, want none", got)
 	}
 }
+
+func TestUnacknowledgedAppendsGrowWithoutBound(t *testing.T) {
+	const entries, entryBytes, limit = 40, 100 << 10, 512 << 10
+	n := newNodeWithLog(1, voters(1, 2, 3), 3)
+	elect(n, 2)
+	ackAppend(n, 2, n.lastIndex())
+	sent := 0
+	for range entries {
+		command := &statepb.Command{Body: &statepb.Command_Adopt{Adopt: &statepb.Adopt{Text: make([]byte, entryBytes)}}}
+		for _, e := range n.Step(Propose{Commands: []*statepb.Command{command}}) {
+			if s, ok := e.(Send); ok && s.Message.To == 2 {
+				sent += proto.Size(s.Message)
+			}
+		}
+	}
+	if sent > limit {
+		t.Errorf("%d bytes were sent to a peer that has acknowledged none of them, want at most %d", sent, limit)
+	}
+}
