state/raft: appends wait for acknowledgements by bytes, not by entries alone

Cause, one of several: a leader sends a peer up to 2,048 entries before the first answer, whatever their size. Each try of the operator is an entry of up to 814 kB; after an election all of them go out at once, in messages of up to 512 entries, and the answers that keep a leader in office wait behind them.

A message has now at most 64 KiB of entries or one entry, and 256 KiB may be unacknowledged.

A single document to seven peers takes as long as the election timeout: next.

--- a/internal/state/raft/log.go
+++ b/internal/state/raft/log.go
@@ -2,12 +2,18 @@
 
 import "hawthornhub.example/hawthornhub/internal/wire/statepb"
 
-// maxAppendEntries is the maximum number of entries in one append message.
-const maxAppendEntries = 512
-
-// maxInflightAppends limits the entries sent to a peer but not yet acknowledged,
-// in append messages of maxAppendEntries.
-const maxInflightAppends = 4
+const (
+	// maxAppendEntries is the maximum number of entries in one append message, and
+	// maxAppendBytes that of their bytes. A larger entry has a message of its own.
+	maxAppendEntries = 512
+	maxAppendBytes   = 64 << 10
+	// maxInflightAppends limits the entries sent to a peer but not yet acknowledged,
+	// in append messages of maxAppendEntries, and maxInflightBytes their bytes.
+	// Without the latter, answers and heartbeats would wait behind entries for longer
+	// than the election timeout.
+	maxInflightAppends = 4
+	maxInflightBytes   = 256 << 10
+)
 
 func (n *Node) lastIndex() uint64 {
 	return n.snapshot.Index + uint64(len(n.entries))
--- a/internal/state/raft/node.go
+++ b/internal/state/raft/node.go
@@ -116,6 +116,10 @@
 	match uint64
 	// next is the index of the next entry to send.
 	next uint64
+	// inflight holds the appends that were sent and not acknowledged, oldest first,
+	// and inflightBytes is their total size.
+	inflight      []sentAppend
+	inflightBytes int
 	// ackedRound is the newest heartbeat round that the peer has answered.
 	ackedRound uint64
 	// idleTicks is the number of ticks since the last append reply from the
@@ -126,9 +130,40 @@
 	snapshotRetryTicks int
 }
 
-// inflightFull reports whether the limit of unacknowledged entries is exceeded.
+// sentAppend is an append message that was sent to a peer: the index of its last entry
+// and the size of its entries in bytes.
+type sentAppend struct {
+	last  uint64
+	bytes int
+}
+
+// inflightFull reports whether a limit of unacknowledged entries is reached.
 func (p *progress) inflightFull() bool {
-	return p.next > p.match+maxAppendEntries*maxInflightAppends
+	return p.next > p.match+maxAppendEntries*maxInflightAppends || p.inflightBytes >= maxInflightBytes
+}
+
+// recordSent records an append up to index last.
+func (p *progress) recordSent(last uint64, bytes int) {
+	p.next = last + 1
+	if bytes > 0 {
+		p.inflight = append(p.inflight, sentAppend{last: last, bytes: bytes})
+		p.inflightBytes += bytes
+	}
+}
+
+// recordMatch records that the peer stores the log up to index match.
+func (p *progress) recordMatch(match uint64) {
+	p.match = max(p.match, match)
+	for len(p.inflight) > 0 && p.inflight[0].last <= p.match {
+		p.inflightBytes -= p.inflight[0].bytes
+		p.inflight = p.inflight[1:]
+	}
+}
+
+// resend continues with the entry at index next, as the peer lacks what was sent.
+func (p *progress) resend(next uint64) {
+	p.next = next
+	p.inflight, p.inflightBytes = nil, 0
 }
 
 // pendingRead is a ReadIndex request that waits for a heartbeat round.
--- a/internal/state/raft/replicate.go
+++ b/internal/state/raft/replicate.go
@@ -179,13 +179,13 @@
 	n.confirmReads()
 	if m.Reject {
 		if m.LogIndex > p.match {
-			p.next = max(p.match+1, min(m.LogIndex, m.Commit+1))
+			p.resend(max(p.match+1, min(m.LogIndex, m.Commit+1)))
 			n.replicate(m.From)
 		}
 		return
 	}
 	if m.LogIndex > p.match {
-		p.match = m.LogIndex
+		p.recordMatch(m.LogIndex)
 		p.snapshotRetryTicks = 0
 	}
 	p.next = max(p.next, p.match+1)
@@ -233,10 +233,7 @@
 		n.sendSnapshot(id, p)
 		return false
 	}
-	to := min(n.lastIndex(), p.next+maxAppendEntries-1)
-	if p.inflightFull() {
-		to = p.next - 1
-	}
+	to, bytes := n.appendEnd(p)
 	t, _ := n.termAt(p.next - 1)
 	n.send(&statepb.Message{
 		Kind:     statepb.MessageKind_MESSAGE_KIND_APPEND,
@@ -247,10 +244,27 @@
 		Entries:  n.slice(p.next, to),
 		Round:    n.heartbeatRound,
 	})
-	p.next = to + 1
+	p.recordSent(to, bytes)
 	return true
 }
 
+// appendEnd returns the index of the last entry of the next append to a peer, and the
+// size of its entries in bytes.
+func (n *Node) appendEnd(p *progress) (to uint64, bytes int) {
+	to = p.next - 1
+	if p.inflightFull() {
+		return to, 0
+	}
+	for _, e := range n.slice(p.next, min(n.lastIndex(), p.next+maxAppendEntries-1)) {
+		size := proto.Size(e)
+		if bytes > 0 && bytes+size > maxAppendBytes {
+			break
+		}
+		to, bytes = e.Index, bytes+size
+	}
+	return to, bytes
+}
+
 // sendSnapshot sends the snapshot, or only a heartbeat until it may be sent
 // again.
 func (n *Node) sendSnapshot(id uint64, p *progress) {
