fleet/replica, state/fsm: a document that is sent again is not appended again

Cause: an operator sends a change again, to the next instance, while it is not acknowledged. Each try, and each try of the instance that passes it on to the leader, became an entry with the whole document, which goes to all peers. Once one commit is slow, the copies keep the links full and the leader from its answers: the collapse outlasts what began it.

The leader answers a document that changes nothing at once, and lets another try of a pending one wait for the first.

--- a/internal/fleet/replica/actor.go
+++ b/internal/fleet/replica/actor.go
@@ -1,8 +1,10 @@
 package replica
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"maps"
 	mrand "math/rand/v2"
 	"time"
 
@@ -53,9 +55,11 @@
 	// flushQueued is set while a flushMsg is in the mailbox.
 	flushQueued bool
 	// pendingProposals is keyed by command nonce, pendingReads by read ID.
-	pendingProposals map[uint64]chan<- proposalResult
-	pendingReads     map[uint64]readMsg
-	lastReadID       uint64
+	pendingProposals map[uint64][]chan<- proposalResult
+	// pendingAdopts holds the pending proposals of site documents by version.
+	pendingAdopts map[uint64]*statepb.Command
+	pendingReads  map[uint64]readMsg
+	lastReadID    uint64
 	// roundStarts holds the start times of heartbeat rounds that have not been
 	// confirmed.
 	roundStarts map[uint64]time.Time
@@ -145,12 +149,48 @@
 		msg.done <- proposalResult{err: &NotLeaderError{Leader: a.leaderName()}}
 		return
 	}
+	if a.joinAdopt(msg) {
+		return
+	}
 	msg.command.Nonce = mrand.Uint64()
 	msg.command.NowMs = time.Now().UnixMilli()
-	a.pendingProposals[msg.command.Nonce] = msg.done
+	a.pendingProposals[msg.command.Nonce] = []chan<- proposalResult{msg.done}
+	if adopt := msg.command.GetAdopt(); adopt != nil {
+		a.pendingAdopts[adopt.Version] = msg.command
+	}
 	a.commands = append(a.commands, msg.command)
 }
 
+// joinAdopt answers the proposal of a site document that changes nothing, or lets it
+// wait for a pending proposal of the same document, and reports whether it did either.
+// An operator sends a document again until it is acknowledged; as an entry each, copies
+// would delay its commit further.
+func (a *stateActor) joinAdopt(msg *proposeMsg) bool {
+	adopt := msg.command.GetAdopt()
+	if adopt == nil || a.machine == nil {
+		return false
+	}
+	if d := a.machine.SiteDocument(); d.GetVersion() >= adopt.Version {
+		msg.done <- proposalResult{result: a.machine.AdoptResult()}
+		return true
+	}
+	pending := a.pendingAdopts[adopt.Version]
+	if pending == nil || !bytes.Equal(pending.GetAdopt().Text, adopt.Text) {
+		return false
+	}
+	a.pendingProposals[pending.Nonce] = append(a.pendingProposals[pending.Nonce], msg.done)
+	return true
+}
+
+// completeProposal passes the result of a proposal to all that wait for it.
+func (a *stateActor) completeProposal(nonce uint64, result proposalResult) {
+	for _, done := range a.pendingProposals[nonce] {
+		done <- result
+	}
+	delete(a.pendingProposals, nonce)
+	maps.DeleteFunc(a.pendingAdopts, func(_ uint64, c *statepb.Command) bool { return c.Nonce == nonce })
+}
+
 func (a *stateActor) read(msg *readMsg) {
 	a.lastReadID++
 	a.pendingReads[a.lastReadID] = *msg
@@ -284,10 +324,7 @@
 		if e.Command == nil {
 			continue
 		}
-		if done := a.pendingProposals[e.Command.Nonce]; done != nil {
-			delete(a.pendingProposals, e.Command.Nonce)
-			done <- proposalResult{result: result}
-		}
+		a.completeProposal(e.Command.Nonce, proposalResult{result: result})
 	}
 }
 
@@ -340,10 +377,7 @@
 
 func (a *stateActor) failProposals(nonces []uint64) {
 	for _, n := range nonces {
-		if done := a.pendingProposals[n]; done != nil {
-			delete(a.pendingProposals, n)
-			done <- proposalResult{err: &ProposalDroppedError{}}
-		}
+		a.completeProposal(n, proposalResult{err: &ProposalDroppedError{}})
 	}
 }
 
@@ -445,9 +479,8 @@
 }
 
 func (a *stateActor) stop() {
-	for n, done := range a.pendingProposals {
-		delete(a.pendingProposals, n)
-		done <- proposalResult{err: &ProposalDroppedError{}}
+	for n := range a.pendingProposals {
+		a.completeProposal(n, proposalResult{err: &ProposalDroppedError{}})
 	}
 	for id := range a.pendingReads {
 		a.completeRead(id, &NotLeaderError{})
--- a/internal/state/fsm/site_document.go
+++ b/internal/state/fsm/site_document.go
@@ -9,6 +9,12 @@
 	if a.Version > m.siteDocument.GetVersion() {
 		m.siteDocument = &statepb.Adopted{Version: a.Version, Text: a.Text, Index: index}
 	}
+	return m.AdoptResult()
+}
+
+// AdoptResult returns the result of a command whose site document is not newer than the
+// current one.
+func (m *Machine) AdoptResult() *statepb.Result {
 	return &statepb.Result{Kind: statepb.ResultKind_RESULT_KIND_OK, Version: m.siteDocument.GetVersion(), Index: m.siteDocument.GetIndex()}
 }
 
