api/registry, fleet/watch: a drain is acknowledged only when all watchers know of it

What callers saw: requests sent to an upstream up to 3.9 s after its drain was acknowledged (DRAIN).

Cause: the acknowledgement came after 600 ms whether or not the watchers had acknowledged the change; the record shows 600 to 650 ms for every drain while the links were full. Full links were the occasion; that the acknowledgement says what is not known is the fault, and any other delay would show it again.

Announce now returns a NotToldError that names the watchers, the upstream gets 503 and announces again, here or elsewhere; the wait is for the change of that upstream and no longer for all that was published meanwhile. An upstream that becomes ready is acknowledged as before: that some do not know it harms nobody.

--- a/internal/api/registry/server.go
+++ b/internal/api/registry/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -74,9 +75,23 @@
 	return "no entry is connected to this instance; announce to another"
 }
 
+// NotToldError reports that not every watcher knows yet that an upstream takes no
+// calls any more.
+type NotToldError struct {
+	Upstream string
+	// Lacking are the names of the watchers that do not know.
+	Lacking []string
+}
+
+// Error implements error.
+func (e *NotToldError) Error() string {
+	return fmt.Sprintf("%s do not know yet that upstream %s takes no calls; announce it again", strings.Join(e.Lacking, ", "), e.Upstream)
+}
+
 // Announce records the state that an upstream reports of itself. If it changes
 // anything, Announce returns once the watchers know of it, or after
-// propagationTimeout.
+// propagationTimeout. If the upstream takes no calls any more, the error is then a
+// *NotToldError: calls may still be sent to it.
 func (s *Server) Announce(ctx context.Context, u catalog.Upstream) error {
 	if s.cfg.Hub.WatcherCount() == 0 && time.Since(s.started) > watcherGracePeriod {
 		return &NoWatchersError{}
@@ -84,16 +99,20 @@
 	ctx, cancel := context.WithTimeout(ctx, propagationTimeout)
 	defer cancel()
 	outcome, untold := s.cfg.Hub.Announce(ctx, u)
-	if len(untold) > 0 {
-		s.cfg.Log.Warn("announcement acknowledged before all watchers know of it",
-			zap.String("upstream", u.ID), zap.Stringer("state", u.State), zap.Strings("lacking", untold))
-	}
 	if outcome != catalog.Refreshed {
 		s.cfg.Log.Info("upstream announced itself",
 			zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("address", u.Address),
 			zap.Stringer("state", u.State), zap.Int64("born", u.StartTimeMs), zap.Uint64("seq", u.Seq), zap.Stringer("outcome", outcome))
 	}
-	return nil
+	if len(untold) == 0 {
+		return nil
+	}
+	s.cfg.Log.Warn("not all watchers know of an announcement yet",
+		zap.String("upstream", u.ID), zap.Stringer("state", u.State), zap.Strings("lacking", untold))
+	if u.State == catalog.Ready {
+		return nil
+	}
+	return &NotToldError{Upstream: u.ID, Lacking: untold}
 }
 
 // PutDocument commits a document if its version is higher than that of the
--- a/internal/fleet/watch/changes.go
+++ b/internal/fleet/watch/changes.go
@@ -52,6 +52,14 @@
 	c.byKey[k] = c.order.PushBack(change{key: k, seq: c.last})
 }
 
+// seqOf returns the number of the last change of a key, 0 if there is none.
+func (c *changes) seqOf(k key) uint64 {
+	if e := c.byKey[k]; e != nil {
+		return e.Value.(change).seq
+	}
+	return 0
+}
+
 // forget removes a key. A watcher that has not seen its last change cannot be told of
 // it any more, see holdsSince.
 func (c *changes) forget(k key) {
--- a/internal/fleet/watch/hub.go
+++ b/internal/fleet/watch/hub.go
@@ -118,9 +118,9 @@
 // every watcher has acknowledged that or ctx is done. It returns the names of the
 // watchers that have not.
 func (h *Hub) Announce(ctx context.Context, u catalog.Upstream) (outcome catalog.Outcome, untold []string) {
-	outcome, told := h.mergeAnnounced(u)
-	if told || u.State != catalog.Ready {
-		untold = h.waitAcked(ctx)
+	outcome, seq := h.mergeAnnounced(u)
+	if outcome == catalog.Changed || u.State != catalog.Ready {
+		untold = h.waitAcked(ctx, seq)
 	}
 	if outcome == catalog.Refreshed {
 		h.noteHeard(u.ID)
@@ -138,18 +138,18 @@
 }
 
 // mergeAnnounced applies an announcement that was made to this instance, and tells the
-// watchers if it changes anything or they were not told yet. It reports whether it has
-// told them.
-func (h *Hub) mergeAnnounced(u catalog.Upstream) (outcome catalog.Outcome, told bool) {
+// watchers if it changes anything or they were not told yet. It returns the number of
+// the upstream's last change.
+func (h *Hub) mergeAnnounced(u catalog.Upstream) (outcome catalog.Outcome, seq uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	outcome = h.cfg.Table.Merge(u)
-	told = outcome == catalog.Changed || h.untold[u.ID]
-	if told {
+	k := key{kind: upstreamChange, id: u.ID}
+	if outcome == catalog.Changed || h.untold[u.ID] {
 		delete(h.untold, u.ID)
-		h.publish(key{kind: upstreamChange, id: u.ID})
+		h.publish(k)
 	}
-	return outcome, told
+	return outcome, h.changes.seqOf(k)
 }
 
 // noteHeard records for the other control instances that an upstream is alive.
@@ -190,36 +190,49 @@
 	h.publish(key{kind: peerChange, id: name})
 }
 
-// waitAcked returns once all watchers have acknowledged everything published
-// before the call, or ctx is done. It returns the names of those that have not.
-func (h *Hub) waitAcked(ctx context.Context) []string {
+// waitAcked returns once all watchers have acknowledged the change with a number, or
+// ctx is done. It returns the names of those that have not.
+func (h *Hub) waitAcked(ctx context.Context, seq uint64) []string {
+	return h.waitAll(ctx, func(w *watcher) bool { return w.acked >= seq || w.peer.GetRole() == RoleRelay })
+}
+
+// WaitDocument returns once a site document with at least the given version is in force
+// at all entries that watch this instance, or ctx is done. It returns the names of those
+// that lack it.
+func (h *Hub) WaitDocument(ctx context.Context, version uint64) []string {
+	return h.waitAll(ctx, func(w *watcher) bool { return w.document >= version || w.peer.GetRole() != RoleEntry })
+}
+
+// waitAll returns once done holds for each present watcher or the watcher is removed, or
+// ctx is done. It returns the names of those for which it does not hold. done is called
+// with mu held.
+func (h *Hub) waitAll(ctx context.Context, done func(*watcher) bool) []string {
 	h.mu.Lock()
-	seq := h.changes.last
 	waiting := make([]*watcher, 0, len(h.watchers))
 	for w := range h.watchers {
-		if w.acked < seq && w.peer.GetRole() != RoleRelay {
+		if !done(w) {
 			waiting = append(waiting, w)
 		}
 	}
 	h.mu.Unlock()
-	var untold []string
+	var lacking []string
 	for _, w := range waiting {
-		if !h.waitWatcherAcked(ctx, w, seq) {
-			untold = append(untold, w.peer.GetName())
+		if !h.wait(ctx, w, done) {
+			lacking = append(lacking, w.peer.GetName())
 		}
 	}
-	return untold
+	return lacking
 }
 
-// waitWatcherAcked returns true once a watcher has acknowledged seq or is removed, and
-// false if ctx is done before.
-func (h *Hub) waitWatcherAcked(ctx context.Context, w *watcher, seq uint64) bool {
+// wait returns true once done holds for a watcher or it is removed, and false if ctx is
+// done before.
+func (h *Hub) wait(ctx context.Context, w *watcher, done func(*watcher) bool) bool {
 	for {
 		h.mu.Lock()
-		done := w.acked >= seq || !h.watchers[w]
+		satisfied := done(w) || !h.watchers[w]
 		ackSignal := w.ackSignal
 		h.mu.Unlock()
-		if done {
+		if satisfied {
 			return true
 		}
 		select {
