api/registry: a document is acknowledged when it is in force at the entries

What callers saw: a configuration in force up to 3.9 s after its acknowledgement (CONFIG). Cause, beside the full links: the acknowledgement followed the commit and said nothing of the entries.

--- a/internal/api/registry/server.go
+++ b/internal/api/registry/server.go
@@ -30,6 +30,9 @@
 	// Watchers are the processes, such as entries, to which the Hub sends
 	// changes.
 	propagationTimeout = 600 * time.Millisecond
+	// documentTimeout limits the wait for the entries to put a committed document in
+	// force.
+	documentTimeout = 2 * time.Second
 	// retryInterval is the wait between two tries to reach the leader.
 	retryInterval = 40 * time.Millisecond
 	// watcherGracePeriod is the time after the start during which announcements
@@ -115,9 +118,24 @@
 	return &NotToldError{Upstream: u.ID, Lacking: untold}
 }
 
+// NotInForceError reports that a document is committed and not yet in force at every
+// entry.
+type NotInForceError struct {
+	Version uint64
+	// Lacking are the names of the entries that have an older version in force.
+	Lacking []string
+}
+
+// Error implements error.
+func (e *NotInForceError) Error() string {
+	return fmt.Sprintf("version %d is committed, but %s still have an older one in force; send it again", e.Version, strings.Join(e.Lacking, ", "))
+}
+
 // PutDocument commits a document if its version is higher than that of the
-// current one. A lower or equal version is accepted and changes nothing. The
-// error is an *InvalidDocumentError if the document is invalid.
+// current one, and returns once it or a newer one is in force at the entries that are
+// connected. A lower or equal version is accepted and changes nothing. The error is an
+// *InvalidDocumentError if the document is invalid, and a *NotInForceError if some
+// entries take longer than documentTimeout.
 func (s *Server) PutDocument(ctx context.Context, text []byte) error {
 	d, err := s.cfg.Decode(text)
 	if err == nil {
@@ -135,8 +153,21 @@
 		s.cfg.Log.Warn("could not commit site document", zap.Uint64("version", d.Version), zap.Error(err))
 		return err
 	}
+	committed := time.Since(start)
+	err = s.waitInForce(d.Version)
 	s.cfg.Log.Info("site document accepted", zap.Uint64("version", d.Version), zap.Uint64("stands", result.GetVersion()),
-		zap.Uint64("index", result.GetIndex()), zap.Duration("took", time.Since(start)))
+		zap.Uint64("index", result.GetIndex()), zap.Duration("committed", committed), zap.Duration("took", time.Since(start)), zap.Error(err))
+	return err
+}
+
+// waitInForce waits until a version of the document is in force at the entries. The
+// wait goes on when the operator has given up, so that the log tells how long it took.
+func (s *Server) waitInForce(version uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), documentTimeout)
+	defer cancel()
+	if lacking := s.cfg.Hub.WaitDocument(ctx, version); len(lacking) > 0 {
+		return &NotInForceError{Version: version, Lacking: lacking}
+	}
 	return nil
 }
 
