fleet/watch, cmd/hawthornhub: a stopping control instance doesn't tell that all others are gone

Cause: a control instance that stops closes its links one by one. Each loss was told to the watchers that were still connected, so that the last of them kept a list of processes in which most were missing; without another control instance it chose owners of batches from that list.

A closed hub tells nothing more, and is closed before the links.

--- a/cmd/hawthornhub/registry.go
+++ b/cmd/hawthornhub/registry.go
@@ -236,7 +236,7 @@
 	transferCtx, cancel := context.WithTimeout(ctx, leaderTransferTimeout)
 	defer cancel()
 	r.TransferLeadership(transferCtx)
-	err := errors.Join(p.http.Shutdown(ctx), p.follower.Load().Close(), p.linkServer.Close(), p.hub.Close(), r.Close(), p.replicaPool.Close())
+	err := errors.Join(p.http.Shutdown(ctx), p.follower.Load().Close(), p.hub.Close(), p.linkServer.Close(), r.Close(), p.replicaPool.Close())
 	p.system.Shutdown()
 	p.close()
 	return err
--- a/internal/fleet/watch/hub.go
+++ b/internal/fleet/watch/hub.go
@@ -63,7 +63,9 @@
 	stats  Stats
 	// departed holds when a name was removed from peers.
 	departed map[string]time.Time
-	done     chan struct{}
+	// closed is set by Close. A closed hub tells nothing more.
+	closed bool
+	done   chan struct{}
 	wg       sync.WaitGroup
 }
 
@@ -247,6 +249,9 @@
 // or ctx is done.
 func (h *Hub) Serve(ctx context.Context, st *link.Stream, first *fleetpb.Watch) {
 	w := h.addWatcher(first)
+	if w == nil {
+		return
+	}
 	h.cfg.Log.Info("watcher joined", zap.String("watcher", w.peer.GetName()), zap.String("kind", w.peer.GetRole()), zap.Bool("resumes", !w.whole))
 	stop := context.AfterFunc(ctx, func() { st.Close() })
 	defer stop()
@@ -259,10 +264,14 @@
 }
 
 // addWatcher registers and lists a watcher. It starts from the changes that the
-// watcher has seen, or from the complete state if those are not known here.
+// watcher has seen, or from the complete state if those are not known here. It returns
+// nil if the hub is closed.
 func (h *Hub) addWatcher(first *fleetpb.Watch) *watcher {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.closed {
+		return nil
+	}
 	w := &watcher{
 		peer:      first.GetSelf(),
 		document:  first.GetVersion(),
@@ -445,10 +454,13 @@
 	return len(h.watchers)
 }
 
-// Close ends all streams and waits until the hub's goroutines have returned.
+// Close ends all streams and waits until the hub's goroutines have returned. It is
+// called before the streams' connections are closed: watchers that are told one by one
+// that the others are gone would take the instance's stop for the loss of them all.
 func (h *Hub) Close() error {
 	close(h.done)
 	h.mu.Lock()
+	h.closed = true
 	for w := range h.watchers {
 		h.removeWatcherLocked(w)
 	}
--- a/internal/fleet/watch/news.go
+++ b/internal/fleet/watch/news.go
@@ -36,7 +36,7 @@
 func (h *Hub) nextNews(w *watcher, now time.Time) (*fleetpb.News, time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if w.outstanding {
+	if w.outstanding || h.closed {
 		return nil, probeInterval
 	}
 	if wait := newsInterval - now.Sub(w.sentAt); wait > 0 {
--- a/internal/fleet/watch/scale_test.go
+++ b/internal/fleet/watch/scale_test.go
@@ -110,3 +110,18 @@
 		t.Errorf("%d messages for %d changes of %d upstreams, want at most %d", got, upstreams*rounds, upstreams, limit)
 	}
 }
+
+// What a stopping control instance tells last must not be that all others are gone.
+func TestStoppingControlInstanceTellsThatAllAreGone(t *testing.T) {
+	const n = 60
+	c := newControlInstance(t)
+	entries := startFleet(t, c, n, 0)
+	time.Sleep(2 * newsInterval)
+	c.stop()
+	for i, e := range entries {
+		eventually(t, "loss of the control instance", func() bool { return e.ConnectedCount() == 0 })
+		if got := len(e.Peers(RoleEntry)); got != n {
+			t.Errorf("entry %d lists %d entries after the control instance stopped, want %d", i, got, n)
+		}
+	}
+}
--- a/internal/fleet/watch/watch_test.go
+++ b/internal/fleet/watch/watch_test.go
@@ -65,8 +65,8 @@
 	})
 	close(ready)
 	c.stop = sync.OnceFunc(func() {
-		c.server.Close()
 		c.hub.Close()
+		c.server.Close()
 	})
 	t.Cleanup(c.stop)
 	return c
