fleet/watch, dispatch/transport, api/gateway, cmd/hawthornhub: a gateway that was suspended waits for the present state

What callers could see: a process that was paused, suspended or starved of processor time sends to an upstream whose drain was acknowledged meanwhile, or answers by a configuration that is no longer in force. A control instance takes a watcher for lost after 1.5 s of silence and acknowledges without it.

The watcher's acknowledgement works as a lease that only one side counted.

Now the gateway counts as well. After 1.2 s without News from any connected control instance, by a clock that includes the time for which the machine is suspended, it waits for News, and for the document that these offer, before it answers a request and right before it writes one to an upstream; after 0.5 s it refuses with 503, which is true, as nothing was sent. An upstream that takes no requests any more by then is not sent to. Without any connected control instance it serves on as before.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -91,7 +91,7 @@
 	s := g.settings
 	g.balancer = balance.New(balance.Config{Zone: s.Zone, Random: rand.IntN})
 	g.upstreams = catalog.New(catalog.Config{OnChange: g.onUpstreamChange})
-	g.transport = transport.NewPool(transport.Config{Classify: platform.Classify, Log: g.log})
+	g.transport = transport.NewPool(transport.Config{Classify: platform.Classify, Permit: g.permitSend, Log: g.log})
 	g.batchOwner = batcher.NewOwner(batcher.Config{
 		Send:      g.transport.Send,
 		Codec:     platform.PieceCodec(),
@@ -103,6 +103,7 @@
 	g.server = gateway.NewServer(gateway.Config{
 		Headers:        platform.HeaderCodec(),
 		Send:           g.transport.Send,
+		AwaitCurrent:   g.awaitCurrent,
 		Upstreams:      g.upstreams.Ready,
 		RunStage:       g.batchRouter.Do,
 		ReleaseResults: g.batchRouter.Release,
@@ -199,6 +200,28 @@
 	return nil
 }
 
+// awaitCurrent returns once the gateway knows the present state of the fleet. Until the
+// follower has started, there is none.
+func (g *gatewayProcess) awaitCurrent(ctx context.Context) error {
+	f := g.follower.Load()
+	if f == nil {
+		return nil
+	}
+	return f.AwaitCurrent(ctx)
+}
+
+// permitSend returns an error if no request may be sent to an upstream any more. The
+// gateway may have been suspended since it chose the upstream.
+func (g *gatewayProcess) permitSend(ctx context.Context, t transport.Target) error {
+	if err := g.awaitCurrent(ctx); err != nil {
+		return err
+	}
+	if u, ok := g.upstreams.Get(t.ID); !ok || u.State != catalog.Ready {
+		return fmt.Errorf("upstream %s takes no requests any more; use another", t.ID)
+	}
+	return nil
+}
+
 func (g *gatewayProcess) onUpstreamChange(before, after catalog.Upstream) {
 	g.log.Info("upstream changed",
 		zap.String("upstream", after.ID), zap.String("service", after.Service), zap.String("address", after.Address),
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -239,7 +239,7 @@
 		return nil, f, q.allowRetry(u, "rejected by the upstream", nil)
 	case transport.NotSent:
 		q.attempts--
-		s.cfg.Balancer.Done(now, u.ID, balance.DoneInfo{Unreachable: true})
+		s.cfg.Balancer.Done(now, u.ID, balance.DoneInfo{Unreachable: !o.Local})
 		q.logAttempt("could not send request to upstream", u, o.Err)
 		if ctx.Err() != nil {
 			return nil, q.contextFailure(nil), false
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -35,6 +35,9 @@
 	Headers HeaderCodec
 	// Send sends a request to an upstream.
 	Send func(ctx context.Context, t transport.Target, r transport.Request) transport.Outcome
+	// AwaitCurrent returns once this process knows the present configuration, or an
+	// error if it does not get to know it in time; nil waits for nothing.
+	AwaitCurrent func(ctx context.Context) error
 	// Upstreams returns the available upstreams of a service.
 	Upstreams func(service string) []catalog.Upstream
 	// RunStage runs the pieces of one stage of a request.
@@ -212,6 +215,11 @@
 // newRequest matches a request to its route and account and reads its body.
 func (s *Server) newRequest(r *http.Request) (*request, *failure) {
 	q := &request{server: s, http: r, start: time.Now()}
+	if s.cfg.AwaitCurrent != nil {
+		if err := s.cfg.AwaitCurrent(r.Context()); err != nil {
+			return q, unavailable(err.Error(), defaultRetryAfter)
+		}
+	}
 	x := s.awaitIndex(r.Context())
 	if x == nil {
 		return q, unavailable("no configuration is known yet", defaultRetryAfter)
--- a/internal/dispatch/transport/outcome.go
+++ b/internal/dispatch/transport/outcome.go
@@ -64,7 +64,11 @@
 }
 
 // NotSent means that no byte of the request was sent.
-type NotSent struct{ Err error }
+type NotSent struct {
+	Err error
+	// Local is set if the upstream had no part in it.
+	Local bool
+}
 
 // Unknown means that the upstream may have run the request.
 type Unknown struct{ Err error }
--- a/internal/dispatch/transport/pool.go
+++ b/internal/dispatch/transport/pool.go
@@ -18,7 +18,10 @@
 type Config struct {
 	// Classify interprets the status and headers of an answer.
 	Classify func(status int, h http.Header) Reply
-	Log      *zap.Logger
+	// Permit is called right before a request is written; an error keeps it from
+	// being sent. nil permits all.
+	Permit func(ctx context.Context, t Target) error
+	Log    *zap.Logger
 }
 
 // ConnectionLimitError reports that the maximum number of connections to an
--- a/internal/dispatch/transport/send.go
+++ b/internal/dispatch/transport/send.go
@@ -48,9 +48,9 @@
 	if err != nil {
 		return NotSent{Err: err}
 	}
-	if err := ctx.Err(); err != nil {
+	if err := p.permit(ctx, t); err != nil {
 		p.release(c, u, c.requests > 0)
-		return NotSent{Err: err}
+		return NotSent{Err: err, Local: true}
 	}
 	x := &exchange{pool: p, conn: c, upstream: u, request: r, writeDone: make(chan error, 1)}
 	c.requests++
@@ -63,6 +63,16 @@
 	return x.receive(stop)
 }
 
+// permit returns an error if a request may not be sent any more.
+func (p *Pool) permit(ctx context.Context, t Target) error {
+	if p.cfg.Permit != nil {
+		if err := p.cfg.Permit(ctx, t); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
 // startWrite writes a request with a small body, and starts writing any other.
 func (x *exchange) startWrite() error {
 	if len(x.request.Body) < concurrentWriteBytes {
--- a/internal/dispatch/transport/transport_test.go
+++ b/internal/dispatch/transport/transport_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -299,3 +301,20 @@
 		t.Error("the upstream's connection is still open")
 	}
 }
+
+func TestRequestIsWrittenWithoutPermission(t *testing.T) {
+	var seen atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { seen.Add(1) }))
+	defer srv.Close()
+	refused := errors.New("refused")
+	p := NewPool(Config{Classify: func(int, http.Header) Reply { return Reply{} }, Permit: func(context.Context, Target) error { return refused }, Log: zap.NewNop()})
+	defer p.Close()
+	outcome := p.Send(context.Background(), Target{ID: "u", Address: srv.Listener.Addr().String()}, Request{Method: http.MethodGet, URI: "/", Host: "h"})
+	o, ok := outcome.(NotSent)
+	if !ok || !errors.Is(o.Err, refused) || !o.Local {
+		t.Errorf("got %#v, want a local NotSent for the refusal", outcome)
+	}
+	if got := seen.Load(); got != 0 {
+		t.Errorf("the upstream got %d requests, want none", got)
+	}
+}
--- a/internal/fleet/watch/fetch.go
+++ b/internal/fleet/watch/fetch.go
@@ -24,9 +24,10 @@
 // documents is what a Follower knows of the site document. It asks one control
 // instance at a time for it. The Follower's mu guards the fields up to asked.
 type documents struct {
-	// inForce is the version that was last put in force, and received that of the
-	// newest document that was received.
-	inForce, received uint64
+	// inForce is the version that was last put in force, received that of the newest
+	// document that was received, and settled that of the last one that was handled,
+	// with or without an error.
+	inForce, received, settled uint64
 	// newest is the newest version that is known to be offered, since offeredAt.
 	newest    uint64
 	offeredAt time.Time
@@ -42,7 +43,7 @@
 
 func newDocuments(first *fleetpb.Watch) documents {
 	return documents{
-		inForce: first.GetVersion(), received: first.GetVersion(),
+		inForce: first.GetVersion(), received: first.GetVersion(), settled: first.GetVersion(),
 		wake: make(chan struct{}, 1),
 		self: first.GetSelf().GetName(), zone: first.GetSelf().GetZone(),
 	}
@@ -135,8 +136,8 @@
 	return preferred, newest
 }
 
-// newestSource returns the connected control instance that offers the newest document.
-// The caller holds mu.
+// newestSource returns the connected control instance that offers the newest document,
+// nil if none is connected. The caller holds mu.
 func (f *Follower) newestSource() *source {
 	var newest *source
 	for _, s := range f.sources {
@@ -168,16 +169,26 @@
 	if !f.recordReceived(a) {
 		return
 	}
-	if err := f.cfg.OnDocument(a); err != nil {
+	err := f.cfg.OnDocument(a)
+	f.recordSettled(a, err)
+	if err != nil {
 		f.cfg.Log.Error("cannot put the site document in force", zap.Uint64("version", a.GetVersion()), zap.Error(err))
 		return
 	}
-	f.mu.Lock()
-	f.documents.inForce = a.GetVersion()
-	f.mu.Unlock()
 	f.tellAll(&fleetpb.NewsSeen{Document: a.GetVersion()})
 }
 
+// recordSettled records that a document was put in force, or could not be with err.
+func (f *Follower) recordSettled(a *statepb.Adopted, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.documents.settled = a.GetVersion()
+	if err == nil {
+		f.documents.inForce = a.GetVersion()
+	}
+	f.signalCurrent()
+}
+
 // recordReceived records that a document has arrived, and reports whether it is newer
 // than any before.
 func (f *Follower) recordReceived(a *statepb.Adopted) bool {
--- a/internal/fleet/watch/follower.go
+++ b/internal/fleet/watch/follower.go
@@ -73,7 +73,10 @@
 	// Lacking returns the known upstreams in the given buckets that a control instance
 	// with the given ones has lost; nil returns none.
 	Lacking func(buckets []uint32, known []*fleetpb.UpstreamWord) []*fleetpb.UpstreamWord
-	Log     *zap.Logger
+	// Now is a clock that also counts while the machine is suspended; nil uses the
+	// system's.
+	Now func() time.Duration
+	Log *zap.Logger
 }
 
 // Follower keeps a stream to each control instance. It is safe for concurrent
@@ -93,6 +96,8 @@
 	silent map[string]bool
 	// received counts what has come from all control instances.
 	received Received
+	// freshness is whether the present state is known.
+	freshness freshness
 	// documents is what is known of the site document.
 	documents documents
 	// applying is held while a document is put in force. It is locked before mu.
@@ -105,6 +110,9 @@
 
 // NewFollower returns a Follower that connects to the seeds.
 func NewFollower(cfg FollowerConfig) *Follower {
+	if cfg.Now == nil {
+		cfg.Now = bootTime
+	}
 	first := cfg.WatchRequest()
 	f := &Follower{cfg: cfg, sources: make(map[string]*source), self: first.GetSelf().GetLink(), documents: newDocuments(first)}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
@@ -239,6 +247,7 @@
 	}
 	f.view.Store(nil)
 	f.updateSilence()
+	f.signalCurrent()
 	f.mu.Unlock()
 	f.documents.wakeUp()
 	if wasConnected {
@@ -356,6 +365,8 @@
 	s.connected, s.stream = true, st
 	s.apply(n)
 	f.received = f.received.with(n)
+	f.freshness.heard = f.cfg.Now()
+	f.signalCurrent()
 	if joined || len(n.Peers) > 0 || len(n.Gone) > 0 {
 		f.view.Store(nil)
 	}
--- a/internal/fleet/watch/hub.go
+++ b/internal/fleet/watch/hub.go
@@ -66,7 +66,7 @@
 	// closed is set by Close. A closed hub tells nothing more.
 	closed bool
 	done   chan struct{}
-	wg       sync.WaitGroup
+	wg     sync.WaitGroup
 }
 
 // NewHub returns a Hub without watchers.
