--- a/internal/fleet/watch/watch_test.go
+++ b/internal/fleet/watch/watch_test.go
@@ -228,7 +228,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	start := time.Now()
-	c.hub.Announce(ctx, upstream("u", catalog.Ready, 1))
+	if _, untold := c.hub.Announce(ctx, upstream("u", catalog.Ready, 1)); len(untold) != 1 || untold[0] != "e1" {
+		t.Errorf("told everybody but %v, want e1 among those that were not told", untold)
+	}
 	if elapsed := time.Since(start); elapsed > 250*time.Millisecond {
 		t.Errorf("announcement took %v, want about 50 ms", elapsed)
 	}
