--- a/internal/fleet/watch/fetch.go
+++ b/internal/fleet/watch/fetch.go
@@ -22,7 +22,8 @@
 )
 
 // documents is what a Follower knows of the site document. It asks one control
-// instance at a time for it. The Follower's mu guards the fields up to asked.
+// instance at a time for it. The Follower's mu guards the fields up to askedAt; the
+// others do not change.
 type documents struct {
 	// inForce is the version that was last put in force, received that of the newest
 	// document that was received, and settled that of the last one that was handled,
