fleet/watch: the control instance to fetch from is chosen by the project's rendezvous hash

Read again: fetch.go had a hash of its own beside serve/rendezvous, and without the finalizer that spreads names which differ only in their last bytes, as the addresses of control instances do. One hash now.

It decides only which control instance of the zone is asked for a document.

--- a/internal/fleet/watch/fetch.go
+++ b/internal/fleet/watch/fetch.go
@@ -1,12 +1,12 @@
 package watch
 
 import (
-	"hash/fnv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
+	"hawthornhub.example/hawthornhub/internal/serve/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 )
@@ -119,7 +119,7 @@
 
 // offers returns the connected control instance that documents are fetched from by
 // preference, nil if none is connected, and the newest version that any one offers.
-// Those in the own zone come first; among them a hash spreads the followers. The
+// Those in the own zone come first; among them rendezvous hashing spreads the followers. The
 // caller holds mu.
 func (f *Follower) offers() (preferred *source, newest uint64) {
 	var best uint64
@@ -129,7 +129,7 @@
 			continue
 		}
 		newest = max(newest, s.document)
-		sameZone, weight := s.peers[s.address].GetZone() == f.documents.zone, fetchWeight(f.documents.self, s.address)
+		sameZone, weight := s.peers[s.address].GetZone() == f.documents.zone, rendezvous.Weight(f.documents.self, s.address)
 		if preferred == nil || sameZone && !near || sameZone == near && weight > best {
 			preferred, near, best = s, sameZone, weight
 		}
@@ -149,16 +149,6 @@
 	return newest
 }
 
-// fetchWeight is the weight of a control instance for a follower in rendezvous
-// hashing.
-func fetchWeight(self, address string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(self))
-	h.Write([]byte{0})
-	h.Write([]byte(address))
-	return h.Sum64()
-}
-
 // applyDocument puts a received document in force unless a newer one is, and tells all
 // connected control instances. a may be nil.
 func (f *Follower) applyDocument(a *statepb.Adopted) {
