api/gateway, dispatch/transport: a response that breaks off is logged with its prompt, and whether its upstream has ended

What is done with the request stays as it was; the upstream of the latest attempt is kept with the request instead of looked up by ID.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -104,6 +104,7 @@
 		Headers:        platform.HeaderCodec(),
 		Send:           g.transport.Send,
 		AwaitCurrent:   g.awaitCurrent,
+		UpstreamEnded:  g.upstreamEnded,
 		Upstreams:      g.upstreams.Ready,
 		RunStage:       g.batchRouter.Do,
 		ReleaseResults: g.batchRouter.Release,
@@ -222,6 +223,16 @@
 	return nil
 }
 
+// upstreamEnded reports whether the process of an upstream that is not known to leave
+// is gone.
+func (g *gatewayProcess) upstreamEnded(ctx context.Context, u catalog.Upstream) bool {
+	known, ok := g.upstreams.Get(u.ID)
+	if !ok || known.StartTimeMs != u.StartTimeMs || known.State != catalog.Ready {
+		return false
+	}
+	return transport.Refuses(ctx, transport.Target{ID: u.ID, Address: u.Address})
+}
+
 func (g *gatewayProcess) onUpstreamChange(before, after catalog.Upstream) {
 	g.log.Info("upstream changed",
 		zap.String("upstream", after.ID), zap.String("service", after.Service), zap.String("address", after.Address),
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -50,8 +50,11 @@
 	tried []string
 	// lastEventID is the ID of the last event that the caller has received.
 	lastEventID string
-	// upstreamID is the upstream of the latest attempt.
-	upstreamID string
+	// upstream is that of the latest attempt, sentAt when the attempt began.
+	upstream catalog.Upstream
+	sentAt   time.Time
+	// begunAt is when the first event or byte of its response arrived, zero before.
+	begunAt time.Time
 }
 
 // fields returns the log fields that describe the request, followed by more.
@@ -61,7 +64,7 @@
 		out = append(out, zap.String("route", q.route.Name), zap.Uint64("version", q.index.Version), zap.String("account", q.account))
 	}
 	if q.attempts > 0 {
-		out = append(out, zap.Int("sends", q.attempts), zap.String("upstream", q.upstreamID))
+		out = append(out, zap.Int("sends", q.attempts), zap.String("upstream", q.upstream.ID))
 	}
 	return append(out, more...)
 }
@@ -222,7 +225,7 @@
 func (q *request) attempt(ctx context.Context, u catalog.Upstream) (response *transport.Answered, f *failure, retry bool) {
 	s := q.server
 	q.tried = append(q.tried, u.ID)
-	q.upstreamID = u.ID
+	q.upstream, q.sentAt, q.begunAt = u, time.Now(), time.Time{}
 	t := transport.Target{ID: u.ID, Address: u.Address, MaxConnections: q.maxConnections()}
 	q.attempts++
 	outcome := s.cfg.Send(ctx, t, q.upstreamRequest(u))
@@ -248,6 +251,7 @@
 	case transport.Unknown:
 		s.cfg.Balancer.Done(now, u.ID, balance.DoneInfo{Failed: ctx.Err() == nil})
 		q.mayHaveRun = true
+		q.recordBreak(ctx, o.Err)
 		f = badGateway("the upstream's answer was lost", o.Err)
 		if ctx.Err() != nil {
 			return nil, q.contextFailure(f), false
--- a/internal/api/gateway/response.go
+++ b/internal/api/gateway/response.go
@@ -53,20 +53,22 @@
 // error status; the returned bool reports whether the request may be retried
 // instead.
 func (q *request) respondBuffered(ctx context.Context, w http.ResponseWriter, a *transport.Answered) (*failure, bool) {
-	id := q.upstreamID
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes))
 	more := err == nil && len(body) == maxBufferedBytes
+	if len(body) > 0 {
+		q.begunAt = time.Now()
+	}
 	if !more {
 		a.Close()
-		q.server.cfg.Balancer.Done(time.Now(), id, balance.DoneInfo{Failed: err != nil && ctx.Err() == nil || a.Status >= http.StatusInternalServerError})
+		q.server.cfg.Balancer.Done(time.Now(), q.upstream.ID, balance.DoneInfo{Failed: err != nil && ctx.Err() == nil || a.Status >= http.StatusInternalServerError})
 	}
 	if err != nil {
+		q.recordBreak(ctx, err)
 		f := badGateway("the upstream's answer broke off", err)
 		if ctx.Err() != nil {
 			return q.contextFailure(f), false
 		}
-		u := q.upstreamByID(id)
-		return f, q.idempotent() && q.allowRetry(u, "response interrupted", err)
+		return f, q.idempotent() && q.allowRetry(q.upstream, "response interrupted", err)
 	}
 	length := a.Length
 	if !more {
@@ -95,7 +97,7 @@
 		written += n
 	}
 	a.Close()
-	q.server.cfg.Balancer.Done(time.Now(), q.upstreamID, balance.DoneInfo{Failed: err != nil && q.http.Context().Err() == nil})
+	q.server.cfg.Balancer.Done(time.Now(), q.upstream.ID, balance.DoneInfo{Failed: err != nil && q.http.Context().Err() == nil})
 	if err != nil {
 		q.abort("answer cut", written, err)
 	}
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -38,6 +38,9 @@
 	// AwaitCurrent returns once this process knows the present configuration, or an
 	// error if it does not get to know it in time; nil waits for nothing.
 	AwaitCurrent func(ctx context.Context) error
+	// UpstreamEnded reports whether an upstream has ended without having announced so;
+	// it is asked after an answer has broken off. nil means that none has.
+	UpstreamEnded func(ctx context.Context, u catalog.Upstream) bool
 	// Upstreams returns the available upstreams of a service.
 	Upstreams func(service string) []catalog.Upstream
 	// RunStage runs the pieces of one stage of a request.
--- a/internal/api/gateway/stream.go
+++ b/internal/api/gateway/stream.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"hawthornhub.example/hawthornhub/internal/dispatch/transport"
-	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
 )
 
@@ -81,11 +80,12 @@
 	for {
 		err := s.copyEvents(a)
 		a.Close()
-		q.server.cfg.Balancer.Done(time.Now(), q.upstreamID, balance.DoneInfo{Failed: err != nil && ctx.Err() == nil})
+		q.server.cfg.Balancer.Done(time.Now(), q.upstream.ID, balance.DoneInfo{Failed: err != nil && ctx.Err() == nil})
 		if err == nil {
 			q.recordAnswered(a.Status, s.written)
 			return
 		}
+		s.recordBreak(ctx, err)
 		next, f := s.resume(ctx, err)
 		if next == nil {
 			s.fail(f, err)
@@ -139,6 +139,9 @@
 	if !s.headerWritten {
 		s.begin(a)
 	}
+	if s.begunAt.IsZero() {
+		s.begunAt = time.Now()
+	}
 	n, err := s.w.Write(complete)
 	s.written += int64(n)
 	if err != nil {
@@ -170,7 +173,7 @@
 	if !s.idempotent() || s.headerWritten && s.events.lastID == "" {
 		return nil, f
 	}
-	if !s.allowRetry(s.upstreamByID(s.upstreamID), "stream interrupted", err) {
+	if !s.allowRetry(s.upstream, "stream interrupted", err) {
 		return nil, f
 	}
 	s.lastEventID = s.events.lastID
@@ -180,7 +183,7 @@
 	}
 	if next.Status != http.StatusOK {
 		next.Close()
-		s.server.cfg.Balancer.Done(time.Now(), s.upstreamID, balance.DoneInfo{Failed: true})
+		s.server.cfg.Balancer.Done(time.Now(), s.upstream.ID, balance.DoneInfo{Failed: true})
 		return nil, f
 	}
 	return next, nil
@@ -193,14 +196,3 @@
 	}
 	s.server.writeFailure(s.w, s.request, f)
 }
-
-// upstreamByID returns the upstream with an ID, with only the ID set if it is no
-// longer available.
-func (q *request) upstreamByID(id string) catalog.Upstream {
-	for _, u := range q.server.cfg.Upstreams(q.service.Name) {
-		if u.ID == id {
-			return u
-		}
-	}
-	return catalog.Upstream{ID: id}
-}
--- a/internal/dispatch/transport/conn.go
+++ b/internal/dispatch/transport/conn.go
@@ -72,6 +72,17 @@
 	return &conn{Conn: raw, target: t, head: head, br: bufio.NewReaderSize(head, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
 }
 
+// Refuses reports whether nothing accepts connections at an upstream's address any more,
+// although its machine responds.
+func Refuses(ctx context.Context, t Target) bool {
+	c, err := dial(ctx, t)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.Close()
+	return false
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var optErr error
