fleet/breaker, fleet/watch, api/gateway: a circuit breaker for each prompt segment that ends upstreams

Cause: each request was judged alone. An end counted against the upstream, at the entry that met it, and was forgotten with the upstream; nothing tied it to the requests that waited there for their first event, so the next request with the same segment went to the next engine, from any entry, and a resumable one was sent again at once.

Change: entries report to the control instances which shared segments were waited for on an upstream whose process is gone (its address refuses connections). A board on each control instance decides: a segment is suspected from its second end on, and all entries are asked for responses to it; a response that begins acquits it of all ends before; ends count as separate only if the request was sent when the end before was over, which a crash of many upstreams at once never is. Three separate ends open the breaker (five if there were responses to the segment before), two make it half-open: trials, at first by one entry. Entries refuse at once, 503 with the time until the next trial, before stages and again right before the send. A request on which two upstreams have ended is not sent to a third. Verdicts and recent ends survive the loss of all control instances: entries hand them over.

Ruled out: overload of engines that come back (the first ends came under a few requests); our repeats as the only cause (half of the ends remain without them).

Conclusion: holds for crashes that close connections. An upstream whose machine falls silent is not counted as ended.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -19,11 +19,13 @@
 	"hawthornhub.example/hawthornhub/internal/api/gateway"
 	"hawthornhub.example/hawthornhub/internal/dispatch/batcher"
 	"hawthornhub.example/hawthornhub/internal/dispatch/transport"
+	"hawthornhub.example/hawthornhub/internal/fleet/breaker"
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/fleet/watch"
 	"hawthornhub.example/hawthornhub/internal/operator/settings"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
+	"hawthornhub.example/hawthornhub/internal/serve/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
@@ -58,6 +60,7 @@
 	*siteProcess
 	upstreams   *catalog.Table
 	balancer    *balance.Balancer
+	breakers    *breaker.Guard
 	transport   *transport.Pool
 	batchOwner  *batcher.Owner
 	batchRouter *batcher.Router
@@ -90,6 +93,7 @@
 func (g *gatewayProcess) start() error {
 	s := g.settings
 	g.balancer = balance.New(balance.Config{Zone: s.Zone, Random: rand.IntN})
+	g.breakers = breaker.NewGuard(breaker.GuardConfig{Report: g.reportPrompts, Rank: g.trialRank, Log: g.log})
 	g.upstreams = catalog.New(catalog.Config{OnChange: g.onUpstreamChange})
 	g.transport = transport.NewPool(transport.Config{Classify: platform.Classify, Permit: g.permitSend, Log: g.log})
 	g.batchOwner = batcher.NewOwner(batcher.Config{
@@ -110,6 +114,7 @@
 		ReleaseResults: g.batchRouter.Release,
 		QueueWait:      g.batchRouter.QueueWait,
 		ResultZone:     g.resultZone,
+		Breakers:       g.breakers,
 		Balancer:       g.balancer,
 		EntryCount:     g.entryCount,
 		Retry:          gateway.RetryBudget{Ratio: s.Retry.Ratio, Burst: s.Retry.Burst},
@@ -169,7 +174,7 @@
 // watchRequest returns the first message of a watch stream: what this process
 // already knows.
 func (g *gatewayProcess) watchRequest() *fleetpb.Watch {
-	w := &fleetpb.Watch{Self: g.selfPeer()}
+	w := &fleetpb.Watch{Self: g.selfPeer(), Breakers: g.breakers.Breakers()}
 	if x := g.server.Index(); x != nil {
 		w.Version = x.Version
 	}
@@ -182,6 +187,25 @@
 	for _, u := range n.Upstreams {
 		g.upstreams.Merge(catalog.FromProto(u, now))
 	}
+	g.breakers.Apply(n)
+}
+
+// reportPrompts sends what this gateway has seen of prompt segments to the control
+// instances.
+func (g *gatewayProcess) reportPrompts(seen *fleetpb.NewsSeen) {
+	if f := g.follower.Load(); f != nil {
+		f.Report(seen)
+	}
+}
+
+// trialRank returns the position of this gateway among those that send trials with a
+// prompt segment.
+func (g *gatewayProcess) trialRank(segment string) int {
+	f := g.follower.Load()
+	if f == nil {
+		return 0
+	}
+	return rendezvous.Rank(segment, g.settings.Name, f.Peers(watch.RoleEntry), (*fleetpb.Peer).GetName)
 }
 
 // applyDocument puts a site document in force.
@@ -223,6 +247,10 @@
 	return nil
 }
 
+// endCheckTimeout is how long an upstream that has broken off a response is waited for to
+// refuse a connection.
+const endCheckTimeout = 200 * time.Millisecond
+
 // upstreamEnded reports whether the process of an upstream that is not known to leave
 // is gone.
 func (g *gatewayProcess) upstreamEnded(ctx context.Context, u catalog.Upstream) bool {
@@ -230,6 +258,8 @@
 	if !ok || known.StartTimeMs != u.StartTimeMs || known.State != catalog.Ready {
 		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
 	return transport.Refuses(ctx, transport.Target{ID: u.ID, Address: u.Address})
 }
 
@@ -341,6 +371,9 @@
 	scope.Gauge("news_received_bytes").Update(float64(received.Bytes))
 	scope.Gauge("documents_received").Update(float64(received.Documents))
 	scope.Gauge("document_received_bytes").Update(float64(received.DocumentBytes))
+	halfOpen, open := g.breakers.Counts()
+	scope.Gauge("breakers_half_open").Update(float64(halfOpen))
+	scope.Gauge("breakers_open").Update(float64(open))
 	scope.Gauge("entries").Update(float64(g.entryCount()))
 	if x := g.server.Index(); x != nil {
 		scope.Gauge("document_version").Update(float64(x.Version))
@@ -383,7 +416,7 @@
 		g.log.Warn("connections closed at the end of the grace period", zap.Int64("requests", g.server.InFlight()), zap.Error(err))
 		err = g.callerHTTP.Close()
 	}
-	err = errors.Join(err, g.readyHTTP.Close(), g.follower.Load().Close(), g.batchRouter.Close(), g.linkServer.Close(), g.batchOwner.Close(), g.transport.Close())
+	err = errors.Join(err, g.readyHTTP.Close(), g.follower.Load().Close(), g.batchRouter.Close(), g.linkServer.Close(), g.batchOwner.Close(), g.transport.Close(), g.breakers.Close())
 	g.close()
 	return err
 }
--- a/cmd/hawthornhub/registry.go
+++ b/cmd/hawthornhub/registry.go
@@ -152,6 +152,9 @@
 	scope.Gauge("watchers_behind").Update(float64(news.Behind))
 	scope.Gauge("news_sent").Update(float64(news.Sent))
 	scope.Gauge("news_bytes").Update(float64(news.Bytes))
+	halfOpen, open := p.hub.Breakers()
+	scope.Gauge("breakers_half_open").Update(float64(halfOpen))
+	scope.Gauge("breakers_open").Update(float64(open))
 	scope.Gauge("news_whole").Update(float64(news.Whole))
 }
 
--- a/internal/api/gateway/gateway_test.go
+++ b/internal/api/gateway/gateway_test.go
@@ -31,6 +31,11 @@
 		Parse: func(h http.Header) (Attributes, error) {
 			left, _ := strconv.Atoi(h.Get("Left-Ms"))
 			a := Attributes{ID: h.Get("Id"), Key: h.Get("Key"), Left: time.Duration(left) * time.Millisecond, PieceKey: "pk"}
+			for _, id := range strings.Split(h.Get("Prompt"), ",") {
+				if id != "" {
+					a.Prompt = append(a.Prompt, PromptSegment{ID: id})
+				}
+			}
 			for _, n := range strings.Split(h.Get("Pieces"), ",") {
 				if n != "" {
 					v, _ := strconv.Atoi(n)
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -55,6 +55,10 @@
 	sentAt   time.Time
 	// begunAt is when the first event or byte of its response arrived, zero before.
 	begunAt time.Time
+	// begunReported is set once the breakers know of that.
+	begunReported bool
+	// waitingEnds is the number of upstreams that ended before they responded.
+	waitingEnds int
 }
 
 // fields returns the log fields that describe the request, followed by more.
@@ -81,6 +85,10 @@
 		q.server.writeFailure(w, q, f)
 		return
 	}
+	if f := q.checkPrompt(); f != nil {
+		q.server.writeFailure(w, q, f)
+		return
+	}
 	q.server.budget(q.service.Name).Deposit(q.server.cfg.Retry.Ratio * ratioShare)
 	unsentCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -139,6 +147,9 @@
 		if err := ctx.Err(); err != nil {
 			return nil, q.contextFailure(last)
 		}
+		if f := q.checkPrompt(); f != nil {
+			return nil, f
+		}
 		u, ok := q.pickUpstream()
 		if !ok {
 			return nil, orElse(last, unavailable("no upstream of the service is ready", defaultRetryAfter))
@@ -225,7 +236,7 @@
 func (q *request) attempt(ctx context.Context, u catalog.Upstream) (response *transport.Answered, f *failure, retry bool) {
 	s := q.server
 	q.tried = append(q.tried, u.ID)
-	q.upstream, q.sentAt, q.begunAt = u, time.Now(), time.Time{}
+	q.upstream, q.sentAt, q.begunAt, q.begunReported = u, time.Now(), time.Time{}, false
 	t := transport.Target{ID: u.ID, Address: u.Address, MaxConnections: q.maxConnections()}
 	q.attempts++
 	outcome := s.cfg.Send(ctx, t, q.upstreamRequest(u))
@@ -247,6 +258,9 @@
 		if ctx.Err() != nil {
 			return nil, q.contextFailure(nil), false
 		}
+		if f := promptFailure(o.Err); f != nil {
+			return nil, f, false
+		}
 		return nil, unavailable("the upstream could not be reached", defaultRetryAfter), true
 	case transport.Unknown:
 		s.cfg.Balancer.Done(now, u.ID, balance.DoneInfo{Failed: ctx.Err() == nil})
@@ -281,7 +295,7 @@
 // allowRetry reports whether the request may be sent once more. If so, it takes
 // one retry from the budget and logs the reason.
 func (q *request) allowRetry(u catalog.Upstream, reason string, err error) bool {
-	if q.attempts >= max(1, q.route.MaxAttempts) || !q.server.budget(q.service.Name).TryWithdraw() {
+	if q.attempts >= max(1, q.route.MaxAttempts) || q.waitingEnds >= maxWaitingEnds || !q.server.budget(q.service.Name).TryWithdraw() {
 		return false
 	}
 	q.logAttempt("retrying request: "+reason, u, err)
@@ -311,6 +325,7 @@
 		URI:    q.http.RequestURI,
 		Host:   q.http.Host,
 		Body:   q.body,
+		Permit: q.startPrompt,
 		Header: q.server.cfg.Headers.ToUpstream(q.http.Header, UpstreamAttributes{
 			TimeLeft:    time.Until(q.deadline),
 			Upstream:    u.ID,
--- a/internal/api/gateway/response.go
+++ b/internal/api/gateway/response.go
@@ -140,6 +140,9 @@
 
 // recordAnswered records a complete response in the metrics and the log.
 func (q *request) recordAnswered(status int, written int64) {
+	if status < http.StatusMultipleChoices {
+		q.reportBegun()
+	}
 	q.server.cfg.Metrics.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("answered").Inc(1)
 	q.server.cfg.Metrics.Timer("answer").Record(time.Since(q.start))
 	q.server.durations.record(q.route.Name, time.Since(q.start))
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -16,6 +16,7 @@
 
 	"hawthornhub.example/hawthornhub/internal/dispatch/batcher"
 	"hawthornhub.example/hawthornhub/internal/dispatch/transport"
+	"hawthornhub.example/hawthornhub/internal/fleet/breaker"
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
 	"hawthornhub.example/hawthornhub/internal/serve/budget"
@@ -54,6 +55,8 @@
 	ResultZone func(handle string) string
 	// ReleaseResults frees the results of a stage at the upstreams.
 	ReleaseResults func(service string, handles []string)
+	// Breakers holds the breakers of prompt segments; nil holds none.
+	Breakers *breaker.Guard
 	// Balancer chooses the upstream of each attempt.
 	Balancer *balance.Balancer
 	// EntryCount returns the number of live entries, the processes that accept
--- a/internal/api/gateway/stream.go
+++ b/internal/api/gateway/stream.go
@@ -139,9 +139,7 @@
 	if !s.headerWritten {
 		s.begin(a)
 	}
-	if s.begunAt.IsZero() {
-		s.begunAt = time.Now()
-	}
+	s.recordEvent()
 	n, err := s.w.Write(complete)
 	s.written += int64(n)
 	if err != nil {
--- a/internal/dispatch/transport/doc.go
+++ b/internal/dispatch/transport/doc.go
@@ -8,8 +8,8 @@
 // if data arrived on it while idle, if its answer came before the request was
 // fully written, or if data followed the answer.
 //
-// Config.Permit is asked right before a request is written, when the time that the
-// choice of the upstream and a new connection took has passed.
+// Config.Permit and Request.Permit are asked right before a request is written, when the
+// time that the choice of the upstream and a new connection took has passed.
 //
 // # Usage
 //
--- a/internal/dispatch/transport/outcome.go
+++ b/internal/dispatch/transport/outcome.go
@@ -28,6 +28,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Permit is called right before the request is written, after Config.Permit; an
+	// error keeps it from being sent. nil permits it.
+	Permit func() error
 }
 
 // Reply is the information in the status and headers of an answer.
--- a/internal/dispatch/transport/send.go
+++ b/internal/dispatch/transport/send.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return NotSent{Err: err}
 	}
-	if err := p.permit(ctx, t); err != nil {
+	if err := p.permit(ctx, t, r); err != nil {
 		p.release(c, u, c.requests > 0)
 		return NotSent{Err: err, Local: true}
 	}
@@ -64,13 +64,16 @@
 }
 
 // permit returns an error if a request may not be sent any more.
-func (p *Pool) permit(ctx context.Context, t Target) error {
+func (p *Pool) permit(ctx context.Context, t Target, r Request) error {
 	if p.cfg.Permit != nil {
 		if err := p.cfg.Permit(ctx, t); err != nil {
 			return err
 		}
 	}
-	return ctx.Err()
+	if err := ctx.Err(); err != nil || r.Permit == nil {
+		return err
+	}
+	return r.Permit()
 }
 
 // startWrite writes a request with a small body, and starts writing any other.
--- /dev/null
+++ b/internal/fleet/breaker/streak.go
@@ -0,0 +1,130 @@
+package breaker
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// suspectRounds is the number of separate ends that make a breaker half-open.
+	suspectRounds = 2
+	// togetherEnds is the number of upstreams that make a breaker half-open although
+	// they ended together.
+	togetherEnds = 3
+	// openRounds is the number of separate ends that open the breaker of a segment that
+	// no response is known to have begun for, if they are openShare of all ends.
+	openRounds = 3
+	openShare  = 0.25
+	// certainRounds is the number of separate ends that open any breaker.
+	certainRounds = 5
+	// sameTime is how far apart upstreams that end together end at most.
+	sameTime = 100 * time.Millisecond
+)
+
+// upstreamEnd is the end of one start of an upstream.
+type upstreamEnd struct {
+	at time.Time
+	// segments are those that were waited for.
+	segments map[string]bool
+}
+
+// wait is that requests with a segment waited on an upstream when it ended.
+type wait struct {
+	end *upstreamEnd
+	// sentAt is when the last of the requests was sent.
+	sentAt time.Time
+}
+
+// streak is a series of ends, in the order of time, at which a segment was waited for
+// and between which no response to it began.
+type streak []wait
+
+// newStreak returns the waits that count, sorted.
+func newStreak(waits []wait, counts func(wait) bool) streak {
+	var s streak
+	for _, w := range waits {
+		if counts(w) {
+			s = append(s, w)
+		}
+	}
+	slices.SortFunc(s, func(a, b wait) int { return a.end.at.Compare(b.end.at) })
+	return s
+}
+
+// until returns the part of the streak up to a time.
+func (s streak) until(t time.Time) streak {
+	n := 0
+	for n < len(s) && !s[n].end.at.After(t) {
+		n++
+	}
+	return s[:n]
+}
+
+// rounds returns the largest number of ends that are separate: the last request that
+// waited on an upstream was sent when the end before was over by sameTime.
+func (s streak) rounds() int {
+	n := 0
+	var last time.Time
+	for _, w := range s {
+		if n == 0 || w.sentAt.Sub(last) > sameTime {
+			n++
+			last = w.end.at
+		}
+	}
+	return n
+}
+
+// shortest returns the shortest part of the streak that is enough, nil if the whole is
+// not.
+func (s streak) shortest(enough func(streak) bool) streak {
+	for n := 1; n <= len(s); n++ {
+		if part := s[:n]; enough(part) {
+			return part
+		}
+	}
+	return nil
+}
+
+// isSuspicious reports whether the streak has enough separate ends to make a breaker
+// half-open.
+func (s streak) isSuspicious() bool { return s.rounds() >= suspectRounds }
+
+// isLarge reports whether the streak is enough to make a breaker half-open although the
+// upstreams ended together.
+func (s streak) isLarge() bool { return len(s) >= togetherEnds }
+
+// opens reports whether the streak is enough to open the breaker of a segment.
+// responded is set if a response to it ever began, and unexplained are the times of all
+// ends that no open breaker explains.
+func (s streak) opens(responded bool, unexplained []time.Time) bool {
+	rounds := s.rounds()
+	return rounds >= certainRounds || !responded && rounds >= openRounds && s.share(unexplained) >= openShare
+}
+
+// share returns the share of the streak's ends in all unexplained ends of its time.
+// Upstreams that end together count once.
+func (s streak) share(unexplained []time.Time) float64 {
+	first, last := s[0].end.at, s[len(s)-1].end.at
+	var own, all []time.Time
+	for _, w := range s {
+		own = append(own, w.end.at)
+	}
+	for _, t := range unexplained {
+		if !t.Before(first) && !t.After(last) {
+			all = append(all, t)
+		}
+	}
+	return float64(moments(own)) / float64(max(1, moments(all)))
+}
+
+// moments returns the number of times, given in order, that are not the same as the one
+// before.
+func moments(times []time.Time) int {
+	n := 0
+	for i, t := range times {
+		if i == 0 || t.Sub(times[i-1]) > sameTime {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/fleet/watch/changes.go
+++ b/internal/fleet/watch/changes.go
@@ -10,10 +10,11 @@
 	upstreamChange changeKind = iota + 1
 	peerChange
 	documentChange
+	breakerChange
 )
 
-// key identifies an item of the hub's state: an upstream or a process by its ID or
-// name, or the site document.
+// key identifies an item of the hub's state: an upstream, a process or the breaker of a
+// prompt segment by its ID or name, or the site document.
 type key struct {
 	kind changeKind
 	id   string
--- a/internal/fleet/watch/hub.go
+++ b/internal/fleet/watch/hub.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"hawthornhub.example/hawthornhub/internal/fleet/breaker"
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
@@ -54,6 +55,8 @@
 	watchers     map[*watcher]bool
 	changes      *changes
 	siteDocument *statepb.Adopted
+	// board decides on the breakers of prompt segments.
+	board *breaker.Board
 	// peers holds the listed processes by name: this instance, its watchers and the
 	// other voters.
 	peers map[string]*fleetpb.Peer
@@ -76,6 +79,7 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		watchers:    make(map[*watcher]bool),
 		changes:     newChanges(),
+		board:       breaker.NewBoard(),
 		peers:       make(map[string]*fleetpb.Peer),
 		untold:      make(map[string]bool),
 		departed:    make(map[string]time.Time),
@@ -286,6 +290,9 @@
 	}
 	h.watchers[w] = true
 	h.setPeer(w.peer.GetName(), w.peer)
+	for _, b := range first.GetBreakers() {
+		h.board.Restore(time.Now(), b)
+	}
 	return w
 }
 
@@ -332,6 +339,7 @@
 	h.Merge(&fleetpb.News{Upstreams: ack.GetUpstreams()})
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.board.Report(time.Now(), ack)
 	if !h.watchers[w] {
 		return
 	}
@@ -385,6 +393,7 @@
 		}
 	}
 	h.forgetDeparted(now)
+	h.decideBreakers(now)
 }
 
 // listVoters lists the voters that are not connected, and removes former ones. The
--- a/internal/fleet/watch/news.go
+++ b/internal/fleet/watch/news.go
@@ -74,6 +74,8 @@
 		case w.peer.GetRole() != RoleRelay || p.Role == RoleControl:
 			n.Peers = append(n.Peers, p)
 		}
+	case breakerChange:
+		n.Breakers = append(n.Breakers, h.board.Get(k.id).Proto(now))
 	case documentChange:
 		// Each News has the version of the document.
 	}
--- a/internal/fleet/watch/watch_test.go
+++ b/internal/fleet/watch/watch_test.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"hawthornhub.example/hawthornhub/internal/fleet/breaker"
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
@@ -76,6 +77,7 @@
 type entry struct {
 	*Follower
 	table *catalog.Table
+	guard *breaker.Guard
 	mu    sync.Mutex
 	// ackDelay delays the acknowledgement of News.
 	ackDelay time.Duration
@@ -87,12 +89,17 @@
 func newEntry(t *testing.T, name string, seeds ...string) *entry {
 	t.Helper()
 	e := &entry{table: catalog.New(catalog.Config{})}
+	e.guard = breaker.NewGuard(breaker.GuardConfig{
+		Report: func(seen *fleetpb.NewsSeen) { e.Report(seen) },
+		Rank:   func(string) int { return 1 },
+		Log:    zap.NewNop(),
+	})
 	pool := link.NewPool(link.PoolConfig{Auth: auth, HeartbeatInterval: 50 * time.Millisecond, HeartbeatTimeout: 500 * time.Millisecond})
 	e.Follower = NewFollower(FollowerConfig{
 		Pool:  pool,
 		Seeds: seeds,
 		WatchRequest: func() *fleetpb.Watch {
-			return &fleetpb.Watch{Self: &fleetpb.Peer{Name: name, Role: RoleEntry, Link: name}}
+			return &fleetpb.Watch{Self: &fleetpb.Peer{Name: name, Role: RoleEntry, Link: name}, Breakers: e.guard.Breakers()}
 		},
 		OnNews: func(n *fleetpb.News) {
 			e.mu.Lock()
@@ -105,6 +112,7 @@
 			for _, u := range n.Upstreams {
 				e.table.Merge(catalog.FromProto(u, time.Now()))
 			}
+			e.guard.Apply(n)
 		},
 		OnDocument: func(a *statepb.Adopted) error {
 			e.mu.Lock()
@@ -117,6 +125,7 @@
 		Log:       zap.NewNop(),
 	})
 	t.Cleanup(func() {
+		e.guard.Close()
 		e.Close()
 		pool.Close()
 	})
--- a/internal/fleet/watch/watcher.go
+++ b/internal/fleet/watch/watcher.go
@@ -62,8 +62,9 @@
 	case RoleRelay:
 		return k.kind == peerChange
 	case RoleControl:
-		// Control instances have documents from the log.
-		return k.kind != documentChange
+		// Control instances have documents from the log, and decide on breakers by
+		// themselves.
+		return k.kind != documentChange && k.kind != breakerChange
 	default:
 		return true
 	}
--- a/internal/serve/rendezvous/rendezvous.go
+++ b/internal/serve/rendezvous/rendezvous.go
@@ -16,6 +16,18 @@
 	return x ^ x>>33
 }
 
+// Rank returns the number of items whose names have a higher weight for a key than the
+// given name.
+func Rank[T any](key, name string, items []T, nameOf func(T) string) int {
+	own, n := Weight(key, name), 0
+	for _, item := range items {
+		if Weight(key, nameOf(item)) > own {
+			n++
+		}
+	}
+	return n
+}
+
 // Best returns the item whose name has the highest weight for a key, regardless
 // of the order of the items. It returns false if there are no items.
 func Best[T any](key string, items []T, name func(T) string) (T, bool) {
