api/gateway, dispatch/transport: an unframed stream that is cut before its first event does not look complete

What callers may have seen: 200 with an empty stream as the whole answer. Cause: a stream with neither a length nor chunks ends with its connection, so that an engine which ends before the first event sends the same bytes as one that has nothing to say; the gateway took the end for a complete answer. It is now a broken one: sent again where the route is resumable, else 502. After an event, the end of the connection at the end of an event still counts as complete, one inside an event never did.

Evidence: TestUnframedStreamWithoutEventsLooksComplete failed before ("no event" and "no event, resumable"), its other cases passed.

--- a/internal/api/gateway/response.go
+++ b/internal/api/gateway/response.go
@@ -23,9 +23,10 @@
 	copyBufferBytes = 16 << 10
 )
 
-// errBadEvent reports that a stream ended in the middle of an event, or that an
-// event is longer than maxEventBytes.
-var errBadEvent = errors.New("incomplete or oversized event in the stream")
+// errBadEvent reports that a stream ended in the middle of an event or, where only the
+// connection tells its end, before the first one, or that an event is longer than
+// maxEventBytes.
+var errBadEvent = errors.New("incomplete, missing or oversized event in the stream")
 
 // respond forwards a response to the caller.
 func (q *request) respond(ctx context.Context, w http.ResponseWriter, a *transport.Answered) {
--- a/internal/api/gateway/stream.go
+++ b/internal/api/gateway/stream.go
@@ -105,7 +105,7 @@
 			return werr
 		}
 		if err == io.EOF {
-			if s.events.partial() {
+			if s.events.partial() || a.Unframed && s.begunAt.IsZero() {
 				return errBadEvent
 			}
 			if !s.headerWritten {
--- a/internal/dispatch/transport/outcome.go
+++ b/internal/dispatch/transport/outcome.go
@@ -54,7 +54,10 @@
 	Header http.Header
 	// Length is the length of the body in bytes, negative if unknown.
 	Length int64
-	Reply  Reply
+	// Unframed is set if the body has neither a length nor chunks, and ends with its
+	// connection.
+	Unframed bool
+	Reply    Reply
 	// Body ends with io.EOF only if the answer is complete.
 	Body    io.Reader
 	release func(keep bool)
--- a/internal/dispatch/transport/send.go
+++ b/internal/dispatch/transport/send.go
@@ -191,6 +191,7 @@
 		Reply:  reply,
 		Body:   body,
 
+		Unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
 		release: func(reuse bool) {
 			stopped := stop()
 			x.pool.release(x.conn, x.upstream, reuse && keep && body.complete && stopped && x.checkWritten())
