--- a/internal/dispatch/batcher/router.go
+++ b/internal/dispatch/batcher/router.go
@@ -11,8 +11,8 @@
 
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
+	"hawthornhub.example/hawthornhub/internal/fleet/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/serve/batching"
-	"hawthornhub.example/hawthornhub/internal/serve/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
--- a/internal/dispatch/batcher/shard.go
+++ b/internal/dispatch/batcher/shard.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
-	"hawthornhub.example/hawthornhub/internal/serve/rendezvous"
+	"hawthornhub.example/hawthornhub/internal/fleet/rendezvous"
 )
 
 // minShardUpstreams is the number of upstreams that a service needs on average in each
--- a/internal/fleet/breaker/fleet_test.go
+++ b/internal/fleet/breaker/fleet_test.go
@@ -12,7 +12,7 @@
 	"go.uber.org/zap"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
-	"hawthornhub.example/hawthornhub/internal/serve/rendezvous"
+	"hawthornhub.example/hawthornhub/internal/fleet/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
 
--- a/internal/fleet/watch/fetch.go
+++ b/internal/fleet/watch/fetch.go
@@ -6,7 +6,7 @@
 	"go.uber.org/zap"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
-	"hawthornhub.example/hawthornhub/internal/serve/rendezvous"
+	"hawthornhub.example/hawthornhub/internal/fleet/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 )
--- a/internal/serve/balance/balancer.go
+++ b/internal/serve/balance/balancer.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
-	"hawthornhub.example/hawthornhub/internal/serve/rendezvous"
+	"hawthornhub.example/hawthornhub/internal/fleet/rendezvous"
 )
 
 const (
--- a/internal/serve/route/pick.go
+++ b/internal/serve/route/pick.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"hawthornhub.example/hawthornhub/internal/serve/rendezvous"
+	"hawthornhub.example/hawthornhub/internal/fleet/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/state/document"
 )
 
--- a/internal/serve/route/table.go
+++ b/internal/serve/route/table.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
+	"hawthornhub.example/hawthornhub/internal/fleet/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/serve/estimate"
-	"hawthornhub.example/hawthornhub/internal/serve/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/state/document"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
