operator/explain, api/gateway: a refusal names the prompt segment whose breaker is not closed

From the ID of a refused request on-call now gets to the evidence of the breaker: the line names the segment, and explain adds the last state that a control instance logged for it, with its ends. prompts_blocked counts such refusals.

--- a/internal/api/gateway/prompt.go
+++ b/internal/api/gateway/prompt.go
@@ -53,7 +53,9 @@
 	if !errors.As(err, &open) {
 		return nil
 	}
-	return unavailable(open.Error(), open.RetryAfter)
+	f := unavailable(open.Error(), open.RetryAfter)
+	f.segment = open.Breaker.Segment
+	return f
 }
 
 // recordEvent records that an event of the response has arrived.
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -312,7 +312,18 @@
 	// inputsExpired is set if the upstream reported that results of the stages
 	// have expired.
 	inputsExpired bool
-	err           error
+	// segment is the prompt segment whose breaker is not closed, if that is the reason.
+	segment string
+	err     error
+}
+
+// fields returns the log fields that describe the failure.
+func (f *failure) fields() []zap.Field {
+	out := []zap.Field{zap.Int("status", f.status), zap.String("reason", f.reason), zap.Duration("retry", f.retryAfter), zap.Error(f.err)}
+	if f.segment != "" {
+		out = append(out, zap.String("segment", f.segment))
+	}
+	return out
 }
 
 // unavailable returns a 503, which guarantees that no upstream has run the
@@ -330,11 +341,13 @@
 // attempt may have run.
 func (s *Server) writeFailure(w http.ResponseWriter, q *request, f *failure) {
 	if q.mayHaveRun && f.status == http.StatusServiceUnavailable {
-		f = badGateway(f.reason, f.err)
+		f = &failure{status: http.StatusBadGateway, reason: f.reason, segment: f.segment, err: f.err}
 	}
 	s.cfg.Metrics.Tagged(map[string]string{"status": strconv.Itoa(f.status)}).Counter("refused").Inc(1)
-	s.cfg.Log.Info("request refused", q.fields(
-		zap.Int("status", f.status), zap.String("reason", f.reason), zap.Duration("retry", f.retryAfter), zap.Error(f.err))...)
+	if f.segment != "" {
+		s.cfg.Metrics.Counter("prompts_blocked").Inc(1)
+	}
+	s.cfg.Log.Info("request refused", q.fields(f.fields()...)...)
 	if f.callerGone {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/operator/explain/explain.go
+++ b/internal/operator/explain/explain.go
@@ -43,6 +43,8 @@
 	"upstream changed":                      "upstream",
 	"upstream announced itself":             "upstream",
 	"call with pieces failed":               "upstream",
+	"breaker of a prompt segment":           "segment",
+	"breaker of a prompt segment changed":   "segment",
 	"site document in force":                "process",
 	"control instance lost":                 "process",
 	"control instance found":                "process",
@@ -141,7 +143,7 @@
 	named, processes := make(map[string]bool), make(map[string]bool)
 	for _, l := range r.lines {
 		named[l.Process], processes[l.Process] = true, true
-		for _, f := range []string{"upstream", "service", "owner"} {
+		for _, f := range []string{"upstream", "service", "owner", "segment"} {
 			named[l.text(f)] = true
 		}
 	}
@@ -234,7 +236,19 @@
 			break
 		}
 	}
-	return text + upstreamState(context, last)
+	return text + breakerState(context, last) + upstreamState(context, last)
+}
+
+// breakerState returns what the breaker of the prompt segment that a line names was based
+// on.
+func breakerState(context []Line, last Line) string {
+	id := last.text("segment")
+	for _, l := range slices.Backward(context) {
+		if id != "" && l.text("segment") == id && l.text("evidence") != "" {
+			return fmt.Sprintf("; its breaker was %s for %s by %s: %s", l.text("state"), last.At.Sub(l.At).Round(time.Millisecond), l.Process, l.text("evidence"))
+		}
+	}
+	return ""
 }
 
 // detail returns the fields of a line that explain why it was logged.
--- a/internal/operator/explain/explain_test.go
+++ b/internal/operator/explain/explain_test.go
@@ -17,6 +17,9 @@
 {"level":"info","ts":"2026-12-04T06:00:05Z","msg":"request refused","process":"front-a-1/gateway","request":"r3","status":503,"age":900,"reason":"the stages cannot be made before the caller gives up"}
 {"level":"warn","ts":"2026-12-04T06:00:06Z","msg":"stream cut","process":"front-a-1/gateway","request":"r4","upstream":"i-1","passed":120,"error":"connection reset"}
 {"level":"warn","ts":"2026-12-04T06:00:06Z","msg":"stream cut","process":"front-a-1/gateway","request":"r6","upstream":"i-1","passed":120,"age":900,"error":"the caller did not take the answer: broken pipe"}
+{"level":"info","ts":"2026-12-04T06:00:06.5Z","msg":"breaker of a prompt segment changed","process":"front-a-1/registry","segment":"ab12","state":"open","evidence":"6 ends, 3 separate"}
+{"level":"info","ts":"2026-12-04T06:00:06.6Z","msg":"breaker of a prompt segment","process":"front-a-1/gateway","segment":"ab12","state":"open","left":60000}
+{"level":"info","ts":"2026-12-04T06:00:07Z","msg":"request refused","process":"front-a-1/gateway","request":"r7","status":503,"age":1,"reason":"upstreams end when they answer prompts with the segment ab12; leave it out","segment":"ab12"}
 `
 
 func report(t *testing.T, request string) Report {
@@ -36,6 +39,7 @@
 		"r4": "the answer of upstream i-1 broke off after 120 bytes (connection reset); the upstream was ready for 5.9s by front-a-1/gateway",
 		"r6": "the caller did not take the answer: broken pipe, after 900 ms and 120 bytes from upstream i-1",
 		"r5": "no line bears the request's id: it was not read by a process whose log is here",
+		"r7": "refused with status 503 after 1 ms: upstreams end when they answer prompts with the segment ab12; leave it out; its breaker was open for 500ms by front-a-1/registry: 6 ends, 3 separate",
 	} {
 		if got := report(t, request).Cause; got != want {
 			t.Errorf("%s: got %q, want %q", request, got, want)
