--- a/internal/fleet/breaker/board.go
+++ b/internal/fleet/breaker/board.go
@@ -28,8 +28,16 @@
 	segments map[string]*segment
 	// begun holds when the last responses began, in the order of reports.
 	begun []begun
-	// changed holds the segments whose breakers have changed since the last Decide.
-	changed map[string]bool
+	// changed holds the segments whose breakers have changed since the last Decide, and
+	// their states before.
+	changed map[string]State
+}
+
+// Change is a change of a breaker.
+type Change struct {
+	// Before is the state that it had, After is what it is now.
+	Before State
+	After  Breaker
 }
 
 // segment is what the board knows of a segment.
@@ -59,7 +67,7 @@
 
 // NewBoard returns a Board with all breakers closed.
 func NewBoard() *Board {
-	return &Board{ends: make(map[string]*upstreamEnd), segments: make(map[string]*segment), changed: make(map[string]bool)}
+	return &Board{ends: make(map[string]*upstreamEnd), segments: make(map[string]*segment), changed: make(map[string]State)}
 }
 
 // Get returns the breaker of a segment.
@@ -143,7 +151,7 @@
 	}
 	if s.breaker.State == HalfOpen && end.at.After(s.breaker.Last) {
 		s.breaker.Last = end.at
-		b.changed[w.GetId()] = true
+		b.markChanged(s)
 	}
 	sentAt := before(now, w.GetSentMs())
 	if known, ok := s.waits[end]; !ok || sentAt.After(known.sentAt) {
@@ -180,8 +188,17 @@
 	if known.State != Open || len(known.Segment) > maxIDBytes || known.Until.Sub(now) > openTerm || b.Get(known.Segment).State == Open {
 		return
 	}
-	b.segment(known.Segment).breaker = known
-	b.changed[known.Segment] = true
+	s := b.segment(known.Segment)
+	b.markChanged(s)
+	s.breaker = known
+}
+
+// markChanged is called before the breaker of a segment changes, or with a change that
+// leaves its state.
+func (b *Board) markChanged(s *segment) {
+	if _, ok := b.changed[s.breaker.Segment]; !ok {
+		b.changed[s.breaker.Segment] = s.breaker.State
+	}
 }
 
 // forget drops what is old, and returns the segments whose breakers were closed long
--- a/internal/fleet/breaker/decide.go
+++ b/internal/fleet/breaker/decide.go
@@ -25,8 +25,7 @@
 	// then waits for the outcome of a trial, and how long it stays open if that fails.
 	firstTerm = time.Minute
 	openTerm  = 10 * time.Minute
-	// halfOpenTerm is how long a segment is suspected, or its breaker half-open, unless
-	// that is renewed.
+	// halfOpenTerm is how long a breaker stays half-open unless that is renewed.
 	halfOpenTerm = 30 * time.Second
 )
 
@@ -36,9 +35,9 @@
 	streak streak
 }
 
-// Decide returns the segments whose breakers have changed since the last call, and
-// those that are no longer remembered. It is to be called every few tenths of a second.
-func (b *Board) Decide(now time.Time) (changed, forgotten []string) {
+// Decide returns the breakers that have changed since the last call, by segment, and the
+// segments that are no longer remembered. It is to be called every few tenths of a second.
+func (b *Board) Decide(now time.Time) (changes []Change, forgotten []string) {
 	forgotten = b.forget(now)
 	for _, s := range b.segments {
 		b.endTerm(s, now)
@@ -52,9 +51,11 @@
 			blamed = append(blamed, s.segment)
 		}
 	}
-	changed = slices.Sorted(maps.Keys(b.changed))
+	for _, id := range slices.Sorted(maps.Keys(b.changed)) {
+		changes = append(changes, Change{Before: b.changed[id], After: b.Get(id)})
+	}
 	clear(b.changed)
-	return changed, forgotten
+	return changes, forgotten
 }
 
 // openSegments returns the segments whose breakers are open.
@@ -76,6 +77,7 @@
 	if s.breaker.State == Closed {
 		s.suspectedAt = now
 	}
+	b.markChanged(s)
 	s.breaker.State = state
 	if state == Closed {
 		s.breaker.Since, s.closedAt = s.begunAt, now
@@ -83,7 +85,6 @@
 		s.breaker.Since, s.breaker.Last = b.span(s, now)
 		s.breaker.Until = now.Add(s.term(state))
 	}
-	b.changed[s.breaker.Segment] = true
 }
 
 // term returns how long the breaker stays in a state.
@@ -118,11 +119,11 @@
 	b.set(s, HalfOpen, now)
 }
 
-// renew prolongs the term of a breaker that is neither closed nor open.
+// renew prolongs the term of a half-open breaker.
 func (b *Board) renew(s *segment, now time.Time) {
-	if s.breaker.State != Closed && s.breaker.State != Open && !s.tried && s.breaker.Until.Sub(now) < halfOpenTerm/2 {
+	if s.breaker.State == HalfOpen && !s.tried && s.breaker.Until.Sub(now) < halfOpenTerm/2 {
 		s.breaker.Until = now.Add(halfOpenTerm)
-		b.changed[s.breaker.Segment] = true
+		b.markChanged(s)
 	}
 }
 
--- a/internal/fleet/breaker/doc.go
+++ b/internal/fleet/breaker/doc.go
@@ -35,7 +35,7 @@
 //
 //	board := breaker.NewBoard()
 //	board.Report(now, seen)
-//	changed, forgotten := board.Decide(now)
+//	changes, forgotten := board.Decide(now)
 //
 //	g := breaker.NewGuard(breaker.GuardConfig{Report: follower.Report, Owns: owns, Log: log})
 //	g.Apply(news)
--- a/internal/fleet/breaker/fleet_test.go
+++ b/internal/fleet/breaker/fleet_test.go
@@ -102,17 +102,17 @@
 		for i, b := range f.boards {
 			now := time.Now()
 			f.mu.Lock()
-			changed, _ := b.Decide(now)
+			changes, _ := b.Decide(now)
 			n := &fleetpb.News{Incarnation: uint64(i + 1)}
-			for _, id := range changed {
-				n.Breakers = append(n.Breakers, b.Get(id).Proto(now))
-				if id != bad && b.Get(id).State == Open {
-					f.opened[id] = true
+			for _, c := range changes {
+				n.Breakers = append(n.Breakers, c.After.Proto(now))
+				if c.After.Segment != bad && c.After.State == Open {
+					f.opened[c.After.Segment] = true
 				}
 			}
 			f.mu.Unlock()
 			for _, g := range f.guards {
-				if len(changed) > 0 {
+				if len(changes) > 0 {
 					g.Apply(n)
 				}
 			}
--- a/internal/fleet/breaker/guard.go
+++ b/internal/fleet/breaker/guard.go
@@ -26,8 +26,8 @@
 	trialRetryAfter = 300 * time.Millisecond
 	// resendAge is how long ends are kept for control instances that have lost their
 	// state, and maxResent how many of them.
-	resendAge = time.Minute
-	maxResent = 64
+	resendAge = 30 * time.Second
+	maxResent = 32
 	// maxKnown is the number of segments that a Guard remembers, the last used ones.
 	maxKnown = 8192
 )
@@ -199,6 +199,10 @@
 	}
 	for _, p := range n.GetBreakers() {
 		b := fromProto(p, now)
+		if before := source[b.Segment].State; max(before, b.State) >= HalfOpen && before != b.State {
+			g.cfg.Log.Info("breaker of a prompt segment", zap.String("segment", b.Segment), zap.Stringer("before", before),
+				zap.Stringer("state", b.State), zap.Duration("left", b.Until.Sub(now)))
+		}
 		if b.State == Closed {
 			delete(source, b.Segment)
 			g.segment(b.Segment).begin(b.Since)
@@ -206,7 +210,6 @@
 			source[b.Segment] = b
 			g.watch(b)
 		}
-		g.cfg.Log.Info("breaker of a prompt segment", zap.String("segment", b.Segment), zap.Stringer("state", b.State), zap.Duration("left", b.Until.Sub(now)))
 	}
 }
 
--- a/internal/fleet/watch/breakers.go
+++ b/internal/fleet/watch/breakers.go
@@ -12,11 +12,13 @@
 // decideBreakers publishes the breakers of prompt segments that have changed. The caller
 // holds mu.
 func (h *Hub) decideBreakers(now time.Time) {
-	changed, forgotten := h.board.Decide(now)
-	for _, id := range changed {
-		h.cfg.Log.Info("breaker of a prompt segment changed",
-			zap.String("segment", id), zap.Stringer("state", h.board.Get(id).State), zap.String("evidence", h.board.Evidence(id)))
-		h.publish(key{kind: breakerChange, id: id})
+	changes, forgotten := h.board.Decide(now)
+	for _, c := range changes {
+		h.publish(key{kind: breakerChange, id: c.After.Segment})
+		if max(c.Before, c.After.State) >= breaker.HalfOpen && c.Before != c.After.State {
+			h.cfg.Log.Info("breaker of a prompt segment changed", zap.String("segment", c.After.Segment), zap.Stringer("before", c.Before),
+				zap.Stringer("state", c.After.State), zap.String("evidence", h.board.Evidence(c.After.Segment)))
+		}
 	}
 	for _, id := range forgotten {
 		h.changes.forget(key{kind: breakerChange, id: id})
