fleet/breaker: bad prompts are found in a quiet fleet too

Found by reading: what upstreams respond to at all was known only from segments that entries had been asked for. Entries now report the next response to any prompt after an end.

Three separate ends now make a breaker half-open there too; it opens as before only once others are responded to.

--- a/internal/fleet/breaker/board.go
+++ b/internal/fleet/breaker/board.go
@@ -52,7 +52,7 @@
 	// tried is set once an open breaker's term has ended. Then a single end is enough
 	// to open it again.
 	tried bool
-	// closedAt is when the breaker was closed, zero if it never was open.
+	// closedAt is when the breaker was last closed, zero if it always was.
 	closedAt time.Time
 }
 
--- a/internal/fleet/breaker/decide.go
+++ b/internal/fleet/breaker/decide.go
@@ -214,7 +214,8 @@
 	case b.served(s.segment, own.shortest(opens), openAfter, now):
 		return Open
 	case b.served(s.segment, own.shortest(streak.isSuspicious), suspectAfter, now),
-		b.served(s.segment, own.shortest(streak.isLarge), openAfter, now):
+		b.served(s.segment, own.shortest(streak.isLarge), openAfter, now),
+		own.rounds() >= openRounds:
 		return HalfOpen
 	default:
 		return Suspected
--- a/internal/fleet/breaker/doc.go
+++ b/internal/fleet/breaker/doc.go
@@ -20,7 +20,8 @@
 //     the later one was sent after the earlier one. Upstreams that end together, for a
 //     reason of their own, take requests of every kind with them, but whatever is sent
 //     afterwards is served.
-//   - Where upstreams respond to no prompt at all, no breaker opens.
+//   - Where upstreams respond to no prompt at all, no breaker opens. Entries report a
+//     response to any prompt after each end.
 //   - A segment that was responded to before is an unlikely cause, and where many
 //     upstreams end, a few ends under a segment are chance. Both take more ends.
 //   - An end at which a segment with an open breaker was waited for says nothing about
--- a/internal/fleet/breaker/fleet_test.go
+++ b/internal/fleet/breaker/fleet_test.go
@@ -57,6 +57,7 @@
 
 var (
 	small = size{entries: 8, controls: 3, upstreams: 12, rate: 50}
+	quiet = size{entries: 8, controls: 3, upstreams: 12, rate: 4}
 	large = size{entries: 60, controls: 5, upstreams: 180, rate: 600}
 )
 
@@ -333,6 +334,9 @@
 			f.wg.Go(func() { f.crashes(stop, 0.2, 2*time.Second) })
 			f.send(3, stop, f.badPrompt)
 		}},
+		{"bad prompts without other segments", func(f *simulation, stop <-chan struct{}) {
+			f.send(3, stop, func() []string { return []string{bad} })
+		}},
 		{"always with the same other segments", func(f *simulation, stop <-chan struct{}) {
 			f.send(3, stop, func() []string { return []string{"route0", "topic7", bad} })
 		}},
@@ -342,6 +346,7 @@
 			for seed := range uint64(4) {
 				playScene(t, fmt.Sprintf("%s, small, resumable %t, seed %d", sc.name, resumable, seed), seed, small, resumable, sc.scene)
 			}
+			playScene(t, fmt.Sprintf("%s, quiet, resumable %t", sc.name, resumable), 1, quiet, resumable, sc.scene)
 			playScene(t, fmt.Sprintf("%s, large, resumable %t", sc.name, resumable), 1, large, resumable, sc.scene)
 		}
 	}
--- a/internal/fleet/breaker/guard.go
+++ b/internal/fleet/breaker/guard.go
@@ -55,6 +55,10 @@
 	sources map[uint64]map[string]Breaker
 	// ends holds the last ends seen, in the order of time.
 	ends []*reportedEnd
+	// witnessAfter is the time from which on the next response is reported whatever its
+	// prompt, as control instances want to know whether upstreams respond at all; zero if
+	// they do not.
+	witnessAfter time.Time
 	// pending is what is to be reported, nil if there is nothing.
 	pending *report
 	// closed is set by Close. Nothing is reported afterwards.
@@ -177,12 +181,30 @@
 		s := g.segment(id)
 		s.begin(at)
 		s.trialAt = time.Time{}
-		if s.watched {
+		if s.watched || g.isWitness(at) {
 			g.reportBegun(s)
 		}
 	}
 }
 
+// wantWitness has the next response reported that begins when an end is over. The caller
+// holds mu.
+func (g *Guard) wantWitness(end time.Time) {
+	if after := end.Add(sameTime); after.After(g.witnessAfter) {
+		g.witnessAfter = after
+	}
+}
+
+// isWitness reports whether a response has to be reported whatever its prompt. The caller
+// holds mu.
+func (g *Guard) isWitness(at time.Time) bool {
+	if g.witnessAfter.IsZero() || !at.After(g.witnessAfter) {
+		return false
+	}
+	g.witnessAfter = time.Time{}
+	return true
+}
+
 // Apply takes over the breakers of a News. A response that has begun since is reported
 // at once, else the next one.
 func (g *Guard) Apply(n *fleetpb.News) {
@@ -218,6 +240,7 @@
 func (g *Guard) watch(b Breaker) {
 	s := g.segment(b.Segment)
 	s.watched = true
+	g.wantWitness(b.Last)
 	if s.begunAt.After(b.Since) {
 		g.reportBegun(s)
 	}
--- a/internal/fleet/breaker/guard_test.go
+++ b/internal/fleet/breaker/guard_test.go
@@ -202,3 +202,24 @@
 		}
 	})
 }
+
+func TestResponseToAnyPromptIsReportedAfterAnEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGuarded(t, 0)
+		g.Ended(End{Upstream: catalog.Upstream{ID: "u"}, At: time.Now(), SentAt: time.Now(), Segments: []string{bad}})
+		g.Begun([]string{"early"}, time.Now())
+		time.Sleep(2 * sameTime)
+		g.Begun([]string{"first"}, time.Now())
+		g.Begun([]string{"second"}, time.Now())
+		time.Sleep(time.Second)
+		var got []string
+		for _, seen := range g.sent() {
+			for _, b := range seen.GetBegun() {
+				got = append(got, b.GetId())
+			}
+		}
+		if want := []string{"first"}; !slices.Equal(got, want) {
+			t.Errorf("responses to %v are reported, want %v", got, want)
+		}
+	})
+}
--- a/internal/fleet/breaker/report.go
+++ b/internal/fleet/breaker/report.go
@@ -39,6 +39,7 @@
 			end.waiting[id] = waitingSegment{position: i, sentAt: e.SentAt}
 		}
 	}
+	g.wantWitness(e.At)
 	g.prepare().ends[end] = true
 }
 
--- a/internal/fleet/breaker/streak.go
+++ b/internal/fleet/breaker/streak.go
@@ -12,7 +12,8 @@
 	// they ended together.
 	togetherEnds = 3
 	// openRounds is the number of separate ends that open the breaker of a segment that
-	// no response is known to have begun for, if they are openShare of all ends.
+	// no response is known to have begun for, if they are openShare of all ends. It makes
+	// a breaker half-open where upstreams respond to no prompt at all.
 	openRounds = 3
 	openShare  = 0.25
 	// certainRounds is the number of separate ends that open any breaker.
