api/gateway: a test's stream breaks off well after it counts as begun

TestResponsesThatBeginAreReported/stream_that_breaks_off_late failed once in a run of several packages: its stand-in broke off exactly begunAfter after the event was written, and the gateway had read the event a moment later, so that by its clock it was too early to count.

--- a/internal/api/gateway/prompt_test.go
+++ b/internal/api/gateway/prompt_test.go
@@ -134,7 +134,7 @@
 func TestResponsesThatBeginAreReported(t *testing.T) {
 	slow := func(w http.ResponseWriter, r *http.Request) {
 		writeEvents(1)(w, r)
-		time.Sleep(begunAfter)
+		time.Sleep(2 * begunAfter)
 		panic(http.ErrAbortHandler)
 	}
 	tests := []struct {
