fleet/breaker: a decision takes time in proportion to the ends; fuzzing of reports

FuzzReport stood still for seconds on some inputs: for each suspected segment all parts of its streak were looked at for separate ends. Looked at from the code, while all engines of a large fleet crash again and again a control instance would have spent a good part of its processor on it, ten times a second.

--- a/internal/fleet/breaker/board.go
+++ b/internal/fleet/breaker/board.go
@@ -95,8 +95,8 @@
 	if s == nil {
 		return ""
 	}
-	st := b.streak(s, nil)
-	return fmt.Sprintf("%d ends, %d separate", len(st), st.rounds())
+	st := s.streak()
+	return fmt.Sprintf("%d ends, %d separate", len(st), len(st.separate()))
 }
 
 func (b *Board) segment(id string) *segment {
--- a/internal/fleet/breaker/board_test.go
+++ b/internal/fleet/breaker/board_test.go
@@ -222,3 +222,19 @@
 		t.Error("an ID over the limit is remembered")
 	}
 }
+
+// A board decides ten times a second, also while all upstreams of a large fleet end again
+// and again.
+func BenchmarkDecide(b *testing.B) {
+	board := NewBoard()
+	for i := range maxEnds {
+		e := &fleetpb.UpstreamEnd{Id: fmt.Sprint("u", i), BornMs: 1, AgeMs: uint32(10 * i)}
+		for j := range maxSegments {
+			e.Waiting = append(e.Waiting, &fleetpb.WaitingSegment{Id: fmt.Sprint("s", j), SentMs: e.AgeMs + 500})
+		}
+		board.Report(t0, &fleetpb.NewsSeen{Ends: []*fleetpb.UpstreamEnd{e}})
+	}
+	for b.Loop() {
+		board.Decide(t0.Add(time.Second))
+	}
+}
--- a/internal/fleet/breaker/decide.go
+++ b/internal/fleet/breaker/decide.go
@@ -32,7 +32,7 @@
 // suspect is a segment whose breaker is not open, with the ends that count against it.
 type suspect struct {
 	*segment
-	streak streak
+	ends streak
 }
 
 // Decide returns the breakers that have changed since the last call, by segment, and the
@@ -82,7 +82,7 @@
 	if state == Closed {
 		s.breaker.Since, s.closedAt = s.begunAt, now
 	} else {
-		s.breaker.Since, s.breaker.Last = b.span(s, now)
+		s.breaker.Since, s.breaker.Last = s.span(now)
 		s.breaker.Until = now.Add(s.term(state))
 	}
 }
@@ -99,10 +99,10 @@
 	}
 }
 
-// span returns when the first and the last upstream ended of those that count against a
-// segment, now if there is none.
-func (b *Board) span(s *segment, now time.Time) (first, last time.Time) {
-	st := b.streak(s, nil)
+// span returns when the first and the last upstream of its streak ended, now if there is
+// none.
+func (s *segment) span(now time.Time) (first, last time.Time) {
+	st := s.streak()
 	if len(st) == 0 {
 		return now, now
 	}
@@ -135,12 +135,17 @@
 	}
 }
 
-// streak returns the ends that count against a segment: those since the last response
-// to it at which none of the blamed segments was waited for.
-func (b *Board) streak(s *segment, blamed []*segment) streak {
-	return newStreak(slices.Collect(maps.Values(s.waits)), func(w wait) bool {
-		return w.end.at.After(s.begunAt) && !w.end.explainedBy(blamed)
-	})
+// streak returns the ends at which the segment was waited for since the last response to
+// it.
+func (s *segment) streak() streak {
+	out := make(streak, 0, len(s.waits))
+	for _, w := range s.waits {
+		if w.end.at.After(s.begunAt) {
+			out = append(out, w)
+		}
+	}
+	slices.SortFunc(out, func(a, b wait) int { return a.end.at.Compare(b.end.at) })
+	return out
 }
 
 // explainedBy reports whether one of the segments was waited for.
@@ -153,7 +158,7 @@
 // prompts, as a later segment is shared by fewer.
 func compareSuspicion(x, y suspect) int {
 	return cmp.Or(
-		cmp.Compare(len(x.streak), len(y.streak)),
+		cmp.Compare(len(x.ends), len(y.ends)),
 		compareBool(y.responded(), x.responded()),
 		cmp.Compare(x.position, y.position),
 		cmp.Compare(x.breaker.Segment, y.breaker.Segment),
@@ -185,7 +190,7 @@
 		switch {
 		case s.breaker.State == Open:
 		case len(s.waits) >= suspectedEnds || s.breaker.State != Closed:
-			out = append(out, suspect{segment: s, streak: b.streak(s, open)})
+			out = append(out, suspect{segment: s, ends: s.streak().without(open)})
 		}
 	}
 	slices.SortFunc(out, func(x, y suspect) int { return compareSuspicion(y, x) })
@@ -195,27 +200,23 @@
 // judge returns the state that the breaker of a suspect is to have, if the given segments
 // are blamed for the ends at which they were waited for.
 func (b *Board) judge(s suspect, blamed []*segment, now time.Time) State {
-	own := b.streak(s.segment, blamed).until(now.Add(-settleTime))
+	own := s.ends.without(blamed).until(now.Add(-settleTime))
 	if s.tried {
 		return s.afterTrial(own, now)
 	}
-	if len(s.streak) < suspectedEnds {
+	if len(s.ends) < suspectedEnds {
 		return Closed
 	}
 	if !s.asked(now) {
 		return Suspected
 	}
-	var all []time.Time
-	if own.rounds() >= openRounds {
-		all = b.unexplained(blamed)
-	}
-	opens := func(part streak) bool { return part.opens(s.responded(), all) }
+	rounds := len(own.separate())
 	switch {
-	case b.served(s.segment, own.shortest(opens), openAfter, now):
+	case rounds >= openRounds && b.served(s.segment, own.opening(s.responded(), b.unexplained(blamed)), openAfter, now):
 		return Open
-	case b.served(s.segment, own.shortest(streak.isSuspicious), suspectAfter, now),
-		b.served(s.segment, own.shortest(streak.isLarge), openAfter, now),
-		own.rounds() >= openRounds:
+	case rounds >= openRounds,
+		b.served(s.segment, own.suspicious(), suspectAfter, now),
+		b.served(s.segment, own.large(), openAfter, now):
 		return HalfOpen
 	default:
 		return Suspected
--- a/internal/fleet/breaker/streak.go
+++ b/internal/fleet/breaker/streak.go
@@ -1,9 +1,6 @@
 package breaker
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// suspectRounds is the number of separate ends that make a breaker half-open.
@@ -40,16 +37,18 @@
 // and between which no response to it began.
 type streak []wait
 
-// newStreak returns the waits that count, sorted.
-func newStreak(waits []wait, counts func(wait) bool) streak {
-	var s streak
-	for _, w := range waits {
-		if counts(w) {
-			s = append(s, w)
+// without returns the ends that none of the blamed segments explains.
+func (s streak) without(blamed []*segment) streak {
+	if len(blamed) == 0 {
+		return s
+	}
+	var out streak
+	for _, w := range s {
+		if !w.end.explainedBy(blamed) {
+			out = append(out, w)
 		}
 	}
-	slices.SortFunc(s, func(a, b wait) int { return a.end.at.Compare(b.end.at) })
-	return s
+	return out
 }
 
 // until returns the part of the streak up to a time.
@@ -61,45 +60,50 @@
 	return s[:n]
 }
 
-// rounds returns the largest number of ends that are separate: the last request that
-// waited on an upstream was sent when the end before was over by sameTime.
-func (s streak) rounds() int {
-	n := 0
+// separate returns the indexes of the largest number of ends that are separate: the last
+// request that waited on an upstream was sent when the end before was over by sameTime.
+func (s streak) separate() []int {
+	var out []int
 	var last time.Time
-	for _, w := range s {
-		if n == 0 || w.sentAt.Sub(last) > sameTime {
-			n++
+	for i, w := range s {
+		if i == 0 || w.sentAt.Sub(last) > sameTime {
+			out = append(out, i)
 			last = w.end.at
 		}
 	}
-	return n
+	return out
 }
 
-// shortest returns the shortest part of the streak that is enough, nil if the whole is
-// not.
-func (s streak) shortest(enough func(streak) bool) streak {
-	for n := 1; n <= len(s); n++ {
-		if part := s[:n]; enough(part) {
-			return part
-		}
+// suspicious returns the part of the streak up to the separate end that makes a breaker
+// half-open, nil if there is none.
+func (s streak) suspicious() streak {
+	ends := s.separate()
+	if len(ends) < suspectRounds {
+		return nil
 	}
-	return nil
+	return s[:ends[suspectRounds-1]+1]
 }
 
-// isSuspicious reports whether the streak has enough separate ends to make a breaker
-// half-open.
-func (s streak) isSuspicious() bool { return s.rounds() >= suspectRounds }
-
-// isLarge reports whether the streak is enough to make a breaker half-open although the
-// upstreams ended together.
-func (s streak) isLarge() bool { return len(s) >= togetherEnds }
+// large returns the part of the streak that makes a breaker half-open although the
+// upstreams ended together, nil if there is none.
+func (s streak) large() streak {
+	if len(s) < togetherEnds {
+		return nil
+	}
+	return s[:togetherEnds]
+}
 
-// opens reports whether the streak is enough to open the breaker of a segment.
-// responded is set if a response to it ever began, and unexplained are the times of all
-// ends that no open breaker explains.
-func (s streak) opens(responded bool, unexplained []time.Time) bool {
-	rounds := s.rounds()
-	return rounds >= certainRounds || !responded && rounds >= openRounds && s.share(unexplained) >= openShare
+// opening returns the part of the streak up to the separate end that opens the breaker of
+// a segment, nil if there is none. responded is set if a response to the segment ever
+// began, and unexplained are the times of all ends that no open breaker explains.
+func (s streak) opening(responded bool, unexplained []time.Time) streak {
+	for i, end := range s.separate() {
+		rounds, part := i+1, s[:end+1]
+		if rounds >= certainRounds || !responded && rounds >= openRounds && part.share(unexplained) >= openShare {
+			return part
+		}
+	}
+	return nil
 }
 
 // share returns the share of the streak's ends in all unexplained ends of its time.
