cmd/hawthornbench: a cell of the matrix waits for its stand-in to listen

The cell before it restarts the stand-in that it has let die and does not wait until it listens, so that the next cell can come too soon. Shown by planting: with 0.4 s of sleep at the stand-in's start three cells fail with the same line, and none with this change, which asks again while the connection is refused. The product has no part in it; what the cells check is the same.

--- a/cmd/hawthornbench/matrix.go
+++ b/cmd/hawthornbench/matrix.go
@@ -262,17 +262,23 @@
 	return f.start(name)
 }
 
-// setFault sets a fault on the stand-in of an agent.
+// setFault sets a fault on the stand-in of an agent. It waits for one that has just been
+// started to listen.
 func (f *fleet) setFault(agent string, fault standin.Fault) error {
 	b, err := json.Marshal(fault)
 	if err != nil {
 		return err
 	}
-	resp, err := http.Post("http://"+f.instances["standin-"+agent].http+"/v1/fault", "application/json", bytes.NewReader(b))
-	if err != nil {
-		return err
+	url := "http://" + f.instances["standin-"+agent].http + "/v1/fault"
+	for deadline := time.Now().Add(readyWait); ; time.Sleep(20 * time.Millisecond) {
+		resp, err := http.Post(url, "application/json", bytes.NewReader(b))
+		if err == nil {
+			return resp.Body.Close()
+		}
+		if !errors.Is(err, syscall.ECONNREFUSED) || time.Now().After(deadline) {
+			return err
+		}
 	}
-	return resp.Body.Close()
 }
 
 // runCell runs one cell: it sends a call, injects the fault while the call runs,
