fleet/breaker: a breaker that is closed without a response gives a segment no history

Found by reading: what a closed breaker says of the last response was "an hour ago" where there had been none, as longer times are not told apart. Entries took that for a response and reported it with the next end, so that a bad segment that had been suspected and let go before, because another one explained its ends, needed five separate ends instead of three until it is blocked. TestBreakerClosedWithoutResponseGivesHistory failed before (3600000 ms).

--- a/internal/fleet/breaker/breaker.go
+++ b/internal/fleet/breaker/breaker.go
@@ -41,7 +41,7 @@
 	Segment string
 	State   State
 	// Since is when the first of the upstreams ended that the state is based on. That of
-	// a closed breaker is when the last response began, if one did.
+	// a closed breaker is when the last response began, zero if none did.
 	Since time.Time
 	// Last is when the last of them ended.
 	Last time.Time
@@ -83,7 +83,8 @@
 	}
 }
 
-// maxAge is the longest time that a message can state.
+// maxAge is the longest time that a message can state. A longer one is not told from
+// never.
 const maxAge = time.Hour
 
 // milliseconds returns d in whole milliseconds, between 0 and maxAge.
--- a/internal/fleet/breaker/guard.go
+++ b/internal/fleet/breaker/guard.go
@@ -227,7 +227,9 @@
 		}
 		if b.State == Closed {
 			delete(source, b.Segment)
-			g.segment(b.Segment).begin(b.Since)
+			if now.Sub(b.Since) < maxAge {
+				g.segment(b.Segment).begin(b.Since)
+			}
 		} else {
 			source[b.Segment] = b
 			g.watch(b)
--- a/internal/fleet/breaker/guard_test.go
+++ b/internal/fleet/breaker/guard_test.go
@@ -223,3 +223,16 @@
 		}
 	})
 }
+
+func TestBreakerClosedWithoutResponseGivesHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGuarded(t, 0)
+		closed := Breaker{Segment: bad}
+		g.Apply(&fleetpb.News{Incarnation: 1, Breakers: []*fleetpb.Breaker{closed.Proto(time.Now())}})
+		g.Ended(End{Upstream: catalog.Upstream{ID: "u"}, At: time.Now(), SentAt: time.Now(), Segments: []string{bad}})
+		time.Sleep(time.Second)
+		if got := g.sent()[0].GetEnds()[0].GetWaiting()[0].GetBegunMs(); got != 0 {
+			t.Errorf("a response is said to have begun %d ms ago, want none", got)
+		}
+	})
+}
