review: cases 1 and 2 keep the shares of the site

The faulty server was the only one of its service, a share of 1.0 where the site's largest is 0.6; the server that crashes was one of two, where it is 0.3. Now one of two is faulty and one of four crashes.

--- a/review/harness/pieces.go
+++ b/review/harness/pieces.go
@@ -28,70 +28,65 @@
 }
 
 const (
-	// rounds is how often a second copy of an answer is sent, once in a round.
+	// rounds is how often a request loses its input in copiedConflict.
 	rounds = 3
-	// requestsInRound is the number of requests of a round. With the answers to their
-	// pieces and the release of their results, a second copy follows fewer than 3 in 100
-	// answers of the server.
-	requestsInRound = 24
-	// requestGap is the time between two requests, about that of a call with one piece.
+	// requestGap is the time between two requests in copiedConflict, in four parts.
 	requestGap = 270 * time.Millisecond
+	// copiedRequests is the number of requests in copiedFailure, and copiedGap the time
+	// between two: two servers that work on one piece a call are never idle for long.
+	copiedRequests = 400
+	copiedGap      = 135 * time.Millisecond
+	// callsPerFailure is the number of pieces of which the faulty server fails one. With
+	// the answers to releases, a second copy follows fewer than 3 in 100 of its answers.
+	callsPerFailure = 20
 )
 
-// copiedFailure lets the one server of a stage fail a piece once in a while. Where the
-// trouble is wanted, its answer to that call gets a late second copy.
+// copiedFailure lets one of the two servers of a stage fail a piece once in a while. Where
+// the trouble is wanted, its answer to that call gets a late second copy.
 func copiedFailure(f *fleet, trouble bool) (bool, error) {
 	if err := f.startCore(); err != nil {
 		return false, err
 	}
 	w := newWorld()
-	var mu sync.Mutex
-	failed := make(map[string]bool)
-	failOnce := func(i item) bool {
-		mu.Lock()
-		defer mu.Unlock()
-		if !strings.HasSuffix(i.ID, "00") || failed[i.ID] {
-			return false
-		}
-		failed[i.ID] = true
-		return true
+	made := 0
+	failSome := func(item) bool {
+		made++
+		return made%callsPerFailure == 0
 	}
 	if _, err := f.startServer("llm-1", "llm", w, engine); err != nil {
 		return false, err
 	}
-	worker, err := f.startServer("scan-1", "stage0", w, pieceWorker(failOnce))
+	faulty, err := f.startServer("scan-1", "stage0", w, pieceWorker(failSome))
 	if err != nil {
 		return false, err
 	}
-	worker.copyOf = func(_ *http.Request, out response) bool {
+	faulty.copyOf = func(_ *http.Request, out response) bool {
 		return trouble && string(out.body) == `{"items":[{"reason":"error"}]}`
 	}
+	if _, err := f.startServer("scan-2", "stage0", w, pieceWorker(func(item) bool { return false })); err != nil {
+		return false, err
+	}
 	if _, err := f.put(20, stagedDocument(20, ""), ackIn, 1, 2, 3); err != nil {
 		return false, err
 	}
 	time.Sleep(catchUp)
 	var clients sync.WaitGroup
-	for round := 1; round <= rounds; round++ {
-		for i := range requestsInRound {
-			id := fmt.Sprintf("%d%02d", round, i)
-			clients.Add(1)
-			go func() {
-				defer clients.Done()
-				if a := f.plan(1, id, "1"); a.status == http.StatusOK && a.err == nil {
-					w.mu.Lock()
-					inputs := w.inputs[id]
-					w.mu.Unlock()
-					w.checkInputs(f.rec, "request "+id+", answered 200,", inputs, []string{id + "/0/0"})
-				}
-			}()
-			time.Sleep(requestGap)
-			if i == 0 {
-				time.Sleep(requestGap / 2)
+	for i := range copiedRequests {
+		id := fmt.Sprintf("c%03d", i)
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			if a := f.plan(1, id, "1"); a.status == http.StatusOK && a.err == nil {
+				w.mu.Lock()
+				inputs := w.inputs[id]
+				w.mu.Unlock()
+				w.checkInputs(f.rec, "request "+id+", answered 200,", inputs, []string{id + "/0/0"})
 			}
-		}
-		clients.Wait()
+		}()
+		time.Sleep(copiedGap)
 	}
-	f.rec.note("requests that were served from the results of others: %d of %d", w.faultCount(), rounds*requestsInRound)
+	clients.Wait()
+	f.rec.note("requests that were served from the results of others: %d of %d", w.faultCount(), copiedRequests)
 	return w.faultCount() > 0, nil
 }
 
@@ -157,11 +152,26 @@
 	}
 	w := newWorld()
 	never := func(item) bool { return false }
-	llm, err := f.startServer("llm-1", "llm", w, engine)
-	if err != nil {
-		return false, err
+	// The first of the two model servers that rejects a request is the faulty one.
+	var mu sync.Mutex
+	faulty := ""
+	for i := 1; i <= 2; i++ {
+		llm, err := f.startServer(fmt.Sprint("llm-", i), "llm", w, engine)
+		if err != nil {
+			return false, err
+		}
+		llm.copyOf = func(_ *http.Request, out response) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			if out.status != http.StatusConflict {
+				return false
+			}
+			if faulty == "" {
+				faulty = llm.id
+			}
+			return trouble && faulty == llm.id
+		}
 	}
-	llm.copyOf = func(_ *http.Request, out response) bool { return trouble && out.status == http.StatusConflict }
 	boots := 0
 	// startWorker starts a server of the stage that crashes after it has made the first
 	// input of a request whose name ends so.
@@ -180,7 +190,7 @@
 		}
 		return nil
 	}
-	for range 2 {
+	for range 4 {
 		if err := startWorker(); err != nil {
 			return false, err
 		}
