Review: an id that is no text cuts the registries off from everybody

The id of a heartbeat is taken from the path without a check; a byte that is not UTF-8 makes the encoding of every News fail.

--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -13,6 +13,7 @@
 // answer is what a client got. err is set if the answer is not complete.
 type answer struct {
 	status int
+	header http.Header
 	body   string
 	err    error
 }
@@ -41,8 +42,8 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		fmt.Fprintf(&lines, "%s: %s\r\n", headers[i], headers[i+1])
 	}
-	if _, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: a.example\r\nHawthornhub-Attempt-Id: %s\r\nHawthornhub-Time-Left-Ms: %d\r\n%sContent-Length: 2\r\n\r\nhi",
-		path, id, requestTimeout.Milliseconds(), lines.String()); err != nil {
+	if _, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nHawthornhub-Attempt-Id: %s\r\nHawthornhub-Time-Left-Ms: %d\r\n%sContent-Length: 2\r\n\r\nhi",
+		path, f.host, id, requestTimeout.Milliseconds(), lines.String()); err != nil {
 		return answer{err: err}
 	}
 	r, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -51,5 +52,5 @@
 	}
 	defer r.Body.Close()
 	body, err := io.ReadAll(r.Body)
-	return answer{status: r.StatusCode, body: string(body), err: err}
+	return answer{status: r.StatusCode, header: r.Header, body: string(body), err: err}
 }
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -27,6 +28,8 @@
 	// registryPort and controlPort are those of the registries, callerPort, readyPort and
 	// linkPort those of the gateways.
 	registryPort, controlPort, callerPort, readyPort, linkPort int
+	// host is the host that clients send.
+	host string
 	// seeds are the registries of the first start. They stay in the settings of all.
 	seeds []string
 	mu    sync.Mutex
@@ -37,7 +40,7 @@
 	if _, err := os.Stat(binary); err != nil {
 		return nil, fmt.Errorf("the program is not built: %w", err)
 	}
-	f := &fleet{dir: dir, binary: binary, rec: rec, procs: make(map[string]*exec.Cmd)}
+	f := &fleet{host: "a.example", dir: dir, binary: binary, rec: rec, procs: make(map[string]*exec.Cmd)}
 	for _, port := range []*int{&f.registryPort, &f.controlPort, &f.callerPort, &f.readyPort, &f.linkPort} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -135,7 +138,7 @@
 // its end.
 func (f *fleet) end(name string, sig syscall.Signal) error {
 	cmd := f.proc(name)
-	if err := f.signal(name, sig); err != nil {
+	if err := f.signal(name, sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return err
 	}
 	timer := time.AfterFunc(graceTime, func() { cmd.Process.Kill() })
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -29,6 +29,12 @@
 	"copied-failure":      copiedFailure,
 	"omitted-stage":       omittedStage,
 	"copied-conflict":     copiedConflict,
+	"unreadable-id":       unreadableID,
+	"earlier-born":        earlierBorn,
+	"gone-then-killed":    goneThenKilled,
+	"escaped-slash":       escapedSlash,
+	"frozen-owner":        frozenOwner,
+	"capital-host":        capitalHost,
 }
 
 func main() {
--- a/review/harness/pieces.go
+++ b/review/harness/pieces.go
@@ -8,17 +8,22 @@
 	"time"
 )
 
-// stagedDocument is a configuration with a model server and one service for each stage.
-// after holds the list of the stages before each stage.
+// stagedDocument is stagedDocumentWith a timeout of 15 s.
 func stagedDocument(version int, after ...string) string {
+	return stagedDocumentWith(version, 15*time.Second, after...)
+}
+
+// stagedDocumentWith is a configuration with a model server and one service for each stage.
+// after holds the list of the stages before each stage.
+func stagedDocumentWith(version int, timeout time.Duration, after ...string) string {
 	services := `{"name":"llm","health-path":"/health","max-connections":280,"protocol":"h1","tls":false,"engine":{"slots":64,"kv-capacity-tokens":736921,"kv-token-bytes":35136,"link-mbps":1500000.0,"moves":false,"backups":false,"models":[{"name":"m"}]}}`
 	var stages []string
 	for i, list := range after {
 		services += fmt.Sprintf(`,{"name":"stage%d","health-path":"/health","max-connections":280,"protocol":"h1","tls":false,"pieces":{"slots":1,"queue":2,"batch":14,"call-ms":240.0,"item-ms":15.0,"room-mb":17.0,"handle-s":4.0,"link-mbps":10000}}`, i)
 		stages = append(stages, fmt.Sprintf(`{"service":"stage%d","after":[%s],"bytes":8000}`, i, list))
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"plan","host":"a.example","path-prefix":"/plan/","kind":"streaming","timeout-ms":15000,"slo-ms":2000,"priority":0,"service":"llm","max-attempts":1,"stages":[%s],"allow-anonymous":true,"sticky":true,"resumable":false,"gap-aim-ms":400}],`+
-		`"services":[%s],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[]}`, version, strings.Join(stages, ","), services)
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"plan","host":"a.example","path-prefix":"/plan/","kind":"streaming","timeout-ms":%d,"slo-ms":2000,"priority":0,"service":"llm","max-attempts":1,"stages":[%s],"allow-anonymous":true,"sticky":true,"resumable":false,"gap-aim-ms":400}],`+
+		`"services":[%s],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[]}`, version, timeout.Milliseconds(), strings.Join(stages, ","), services)
 }
 
 // plan sends a request with the given numbers of pieces.
--- a/review/harness/standin.go
+++ b/review/harness/standin.go
@@ -131,15 +131,29 @@
 	stream func(w io.Writer) error
 }
 
+// startServer starts a server that announces itself from now on.
 func (f *fleet) startServer(id, service string, w *world, answer func(s *server) func(r *http.Request, body []byte) response) (*server, error) {
-	ln, err := net.Listen("tcp", "127.0.42.1:0")
+	s, err := f.newServer(id, service, w, answer)
+	if err != nil {
+		return nil, err
+	}
+	go s.beat()
+	return s, nil
+}
+
+// newServer starts a server that announces itself only when it is told to.
+func (f *fleet) newServer(id, service string, w *world, answer func(s *server) func(r *http.Request, body []byte) response) (*server, error) {
+	return f.newServerAt("127.0.42.1:0", id, service, w, answer)
+}
+
+func (f *fleet) newServerAt(address, id, service string, w *world, answer func(s *server) func(r *http.Request, body []byte) response) (*server, error) {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	s := &server{id: id, service: service, address: ln.Addr().String(), f: f, w: w, ln: ln, born: time.Now().UnixMilli(), conns: make(map[net.Conn]bool)}
 	s.answer = answer(s)
 	go s.accept()
-	go s.beat()
 	f.rec.note("server %s of %s at %s", id, service, s.address)
 	return s, nil
 }
