--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -34,6 +34,7 @@
 	"gone-then-killed":    goneThenKilled,
 	"escaped-slash":       escapedSlash,
 	"frozen-owner":        frozenOwner,
+	"version-zero":        versionZero,
 	"capital-host":        capitalHost,
 }
 
