serve/eligible: rules that keep requests from upstreams for a while

Evacuated zones, back-offs that an upstream asks for and cold upstreams are all reasons not to call an upstream at the moment. Each becomes a Rule; the gateway and the batcher filter their candidates by all of them, and a refusal carries the shortest wait.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -26,6 +26,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/watch"
 	"hawthornhub.example/hawthornhub/internal/operator/settings"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
+	"hawthornhub.example/hawthornhub/internal/serve/eligible"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
@@ -61,7 +62,9 @@
 // gatewayProcess is a running gateway.
 type gatewayProcess struct {
 	*siteProcess
-	upstreams   *catalog.Table
+	upstreams *catalog.Table
+	// rules tell which upstreams may be called at the moment.
+	rules       eligible.Rules
 	balancer    *balance.Balancer
 	breakers    *breaker.Guard
 	transport   *transport.Pool
@@ -103,6 +106,7 @@
 		Send:      g.transport.Send,
 		Codec:     platform.PieceCodec(),
 		Upstreams: g.upstreams.Ready,
+		Rules:     g.rules,
 		Service:   g.findService,
 		Log:       g.log,
 	})
@@ -113,6 +117,7 @@
 		AwaitCurrent:   g.awaitCurrent,
 		UpstreamEnded:  g.upstreamEnded,
 		Upstreams:      g.upstreams.Ready,
+		Rules:          g.rules,
 		RunStage:       g.batchRouter.Do,
 		ReleaseResults: g.batchRouter.Release,
 		QueueWait:      g.batchRouter.QueueWait,
@@ -245,9 +250,13 @@
 	if err := g.awaitCurrent(ctx); err != nil {
 		return err
 	}
-	if u, ok := g.upstreams.Get(t.ID); !ok || u.State != catalog.Ready {
+	u, ok := g.upstreams.Get(t.ID)
+	if !ok || u.State != catalog.Ready {
 		return fmt.Errorf("upstream %s takes no requests any more; use another", t.ID)
 	}
+	if g.rules.Wait(time.Now(), u) > 0 {
+		return fmt.Errorf("upstream %s may not be called now; use another", t.ID)
+	}
 	return nil
 }
 
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -13,6 +13,7 @@
 	"hawthornhub.example/hawthornhub/internal/dispatch/transport"
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
+	"hawthornhub.example/hawthornhub/internal/serve/eligible"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
@@ -150,9 +151,9 @@
 		if f := q.checkPrompt(); f != nil {
 			return nil, f
 		}
-		u, ok := q.pickUpstream()
+		u, wait, ok := q.pickUpstream()
 		if !ok {
-			return nil, orElse(last, unavailable("no upstream of the service is ready", defaultRetryAfter))
+			return nil, orElse(last, unavailable("no upstream of the service may be called now", retryAfterWait(wait)))
 		}
 		response, f, retry := q.attempt(ctx, u)
 		if response != nil {
@@ -209,12 +210,26 @@
 // never sent.
 const statusClientClosedRequest = 499
 
-func (q *request) pickUpstream() (catalog.Upstream, bool) {
+// pickUpstream chooses the upstream of the next attempt. If there is none, wait is the
+// time after which one may be called again, 0 if none is expected.
+func (q *request) pickUpstream() (u catalog.Upstream, wait time.Duration, ok bool) {
 	info := balance.PickInfo{Exclude: q.tried, Prefix: q.sharedPrefix()}
 	if len(q.route.Stages) > 0 {
 		info.Zone = q.stageZone()
 	}
-	return q.server.cfg.Balancer.Pick(time.Now(), info, q.server.cfg.Upstreams(q.service.Name))
+	now := time.Now()
+	callable, wait := q.server.cfg.Rules.Filter(now, q.server.cfg.Upstreams(q.service.Name))
+	u, ok = q.server.cfg.Balancer.Pick(now, info, callable)
+	return u, wait, ok
+}
+
+// retryAfterWait returns the Retry-After of a request that no upstream may be sent for
+// the time wait.
+func retryAfterWait(wait time.Duration) time.Duration {
+	if wait == eligible.Unknown {
+		return defaultRetryAfter
+	}
+	return max(defaultRetryAfter, wait)
 }
 
 // sharedPrefix returns the ID of the last prompt segment that other requests
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -19,6 +19,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
 	"hawthornhub.example/hawthornhub/internal/serve/budget"
+	"hawthornhub.example/hawthornhub/internal/serve/eligible"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
@@ -43,6 +44,8 @@
 	UpstreamEnded func(ctx context.Context, u catalog.Upstream) bool
 	// Upstreams returns the available upstreams of a service.
 	Upstreams func(service string) []catalog.Upstream
+	// Rules tell which of them may be called at the moment.
+	Rules eligible.Rules
 	// RunStage runs the pieces of one stage of a request.
 	RunStage func(ctx context.Context, job batcher.Job) batcher.Result
 	// QueueWait returns the expected queue wait of new work for a service that prefers
--- a/internal/dispatch/batcher/owner.go
+++ b/internal/dispatch/batcher/owner.go
@@ -13,6 +13,7 @@
 	"hawthornhub.example/hawthornhub/internal/dispatch/transport"
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/serve/batching"
+	"hawthornhub.example/hawthornhub/internal/serve/eligible"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
@@ -38,6 +39,8 @@
 	Codec Codec
 	// Upstreams returns the upstreams of a service that may be called.
 	Upstreams func(service string) []catalog.Upstream
+	// Rules tell which of them may be called at the moment.
+	Rules eligible.Rules
 	// Service returns the configuration of a service.
 	Service func(name string) (*site.Service, bool)
 	Log     *zap.Logger
@@ -204,10 +207,10 @@
 	return j.Completed()
 }
 
-// usable returns the upstreams that are neither silent nor in backoff, or
-// all upstreams if none qualifies.
+// usable returns the upstreams that may be called and are neither silent nor in backoff,
+// or all that may be called if none qualifies.
 func (d *dispatcher) usable(now time.Time) []catalog.Upstream {
-	all := d.shard.includes(d.owner.cfg.Upstreams(d.shard.service))
+	all, _ := d.owner.cfg.Rules.Filter(now, d.shard.includes(d.owner.cfg.Upstreams(d.shard.service)))
 	var out []catalog.Upstream
 	for _, u := range all {
 		if !u.Silent && !now.Before(d.upstream(u.ID).backoffUntil) {
