dispatch/batcher: an owner in each zone from three upstreams a zone on

Callers saw pieces and engines fetch from other zones, and bytes between zones were the largest cost.

--- a/internal/dispatch/batcher/shard.go
+++ b/internal/dispatch/batcher/shard.go
@@ -8,9 +8,10 @@
 )
 
 // minShardUpstreams is the number of upstreams that a service needs on average in each
-// of its availability zones to be split by zone. With fewer, batches fill better and
-// the loss of an upstream is felt less if one owner has them all.
-const minShardUpstreams = 6
+// of its availability zones to be split by zone, so that results stay in their zone. With
+// fewer, batches fill better and the loss of an upstream is felt less if one owner has
+// them all.
+const minShardUpstreams = 3
 
 // shard is a part of a service with an owner of its own: the upstreams in one
 // availability zone, or all of them if zone is empty.
