batching, batcher, gateway: a queued job fails when its inputs expire

Results are kept for a few seconds. A job that waited longer at the next owner was sent all the same: the upstream found the inputs gone, and the time of the call was lost. An entry now sends the time until the first input expires with the job, and the owner fails the job before it sends pieces in vain.

--- a/internal/api/gateway/stages.go
+++ b/internal/api/gateway/stages.go
@@ -38,6 +38,8 @@
 	released bool
 	// handles refer to the results, one for each piece.
 	handles []string
+	// oldest is when the first of the results was made.
+	oldest time.Time
 }
 
 // stageEvent reports the result of a stage or, if result is nil, only that its
@@ -173,6 +175,7 @@
 		Rank:        r.rank,
 		ResultBytes: stage.ResultBytes,
 		InputBytes:  r.inputBytes(stage.DependsOn),
+		InputsTTL:   r.inputsTTL(stage.DependsOn),
 	}
 	if len(job.Inputs) == 0 {
 		job.Key = r.PieceKey
@@ -214,6 +217,31 @@
 	return total
 }
 
+// inputsTTL is the time until the first of the results that inputsFrom returns for the
+// same stages expires, 0 if it is not known.
+func (q *request) inputsTTL(stages []int) time.Duration {
+	shortest := time.Duration(0)
+	for _, i := range stages {
+		left := q.resultTTL(i)
+		if q.pieceCount(i) == 0 {
+			left = q.inputsTTL(q.route.Stages[i].DependsOn)
+		}
+		if left > 0 && (shortest == 0 || left < shortest) {
+			shortest = left
+		}
+	}
+	return shortest
+}
+
+// resultTTL is the time until the first result of a stage expires, 0 if it is not known.
+func (q *request) resultTTL(stage int) time.Duration {
+	s, ok := q.index.Service(q.route.Stages[stage].Service)
+	if !ok || s.Batching == nil || s.Batching.ResultTTL == 0 || q.stages[stage].oldest.IsZero() {
+		return 0
+	}
+	return max(time.Millisecond, s.Batching.ResultTTL-time.Since(q.stages[stage].oldest))
+}
+
 // timeAfter is the expected time from the end of a stage to the first event of
 // the response.
 func (q *request) timeAfter(stage int) time.Duration {
@@ -292,6 +320,7 @@
 func (r *stageRun) complete(e stageEvent, result batcher.Completed) {
 	s := &r.stages[e.stage]
 	s.handles, s.done, s.inputsFetched = result.Handles, true, true
+	s.oldest = time.Now().Add(-result.Oldest)
 	defer r.releaseUnneeded()
 	if len(result.Handles) == 0 {
 		return
--- a/internal/dispatch/batcher/call.go
+++ b/internal/dispatch/batcher/call.go
@@ -191,8 +191,17 @@
 			unneeded = append(unneeded, out.Handle)
 		case w == nil:
 		case out.Reason == ReasonNone:
+			if w.firstResult.IsZero() {
+				w.firstResult = now
+			}
 			if d.queue.Complete(piece, out.Handle) {
-				d.complete(piece.Job, Completed{Handles: piece.Job.Handles(), Queued: w.lastDispatch.Sub(w.enqueued), Calls: piece.Job.Calls(), Backlog: d.queue.Backlog(now, d.capacity(now))})
+				d.complete(piece.Job, Completed{
+					Handles: piece.Job.Handles(),
+					Queued:  w.lastDispatch.Sub(w.enqueued),
+					Calls:   piece.Job.Calls(),
+					Oldest:  now.Sub(w.firstResult),
+					Backlog: d.queue.Backlog(now, d.capacity(now)),
+				})
 			}
 		default:
 			unneeded = append(unneeded, d.handleReason(now, s, piece, w, out.Reason)...)
--- a/internal/dispatch/batcher/job.go
+++ b/internal/dispatch/batcher/job.go
@@ -74,6 +74,8 @@
 	ResultBytes int64
 	// InputBytes is the total size of all inputs.
 	InputBytes int64
+	// InputsTTL is the time until the first of the inputs expires, 0 if unknown.
+	InputsTTL time.Duration
 	// OnDispatched, if not nil, is called once the last piece has been sent to
 	// an upstream, which fetches its inputs right away. It must not block.
 	OnDispatched func()
@@ -90,6 +92,8 @@
 	Queued time.Duration
 	// Calls is the number of calls over which the pieces were spread.
 	Calls int
+	// Oldest is the time since the first of the results was made.
+	Oldest time.Duration
 	// Backlog is the owner's queue at completion.
 	Backlog batching.Backlog
 }
--- a/internal/dispatch/batcher/owner.go
+++ b/internal/dispatch/batcher/owner.go
@@ -26,6 +26,8 @@
 	// capacityBackoff is how long an upstream is not called after it lacked
 	// capacity for a call or memory for a result.
 	capacityBackoff = 60 * time.Millisecond
+	// inputFetchTime is the time in which an upstream fetches the inputs of a call.
+	inputFetchTime = 70 * time.Millisecond
 	// A call times out after callTimeoutFactor times the duration expected at the
 	// upstream, plus callTimeoutMargin.
 	callTimeoutFactor = 3
@@ -79,6 +81,8 @@
 	failures     int
 	enqueued     time.Time
 	lastDispatch time.Time
+	// firstResult is when the first result arrived, zero before.
+	firstResult time.Time
 	// onDispatched, if not nil, is called once, when the last piece is
 	// dispatched.
 	onDispatched func()
@@ -141,6 +145,10 @@
 		return Failed{Err: &UnknownServiceError{Service: job.Service}}
 	}
 	now := time.Now()
+	var inputsExpire time.Time
+	if job.InputsTTL > 0 {
+		inputsExpire = now.Add(job.InputsTTL)
+	}
 	queued := batching.NewJob(batching.Job{
 		RequestID: job.RequestID,
 		Service:   job.Service,
@@ -154,8 +162,9 @@
 		Rank:      job.Rank,
 		Zone:      job.Zone,
 
-		ResultBytes: job.ResultBytes,
-		InputBytes:  job.InputBytes,
+		ResultBytes:  job.ResultBytes,
+		InputBytes:   job.InputBytes,
+		InputsExpire: inputsExpire,
 	}, job.Pieces)
 	w, refused := d.enqueue(now, queued, job.OnDispatched)
 	if refused != nil {
@@ -260,6 +269,7 @@
 	if d.queue.Waiting() == 0 || d.owner.ctx.Err() != nil {
 		return
 	}
+	d.failExpired(now)
 	var idle []catalog.Upstream
 	usable := d.usable(now)
 	lowest := d.minSlowness(now, usable)
@@ -324,6 +334,19 @@
 	}
 }
 
+// failExpired fails the queued jobs whose inputs expire before an upstream could fetch
+// them. The caller holds mu.
+func (d *dispatcher) failExpired(now time.Time) {
+	for _, j := range d.queue.RemoveExpired(now, inputFetchTime) {
+		d.owner.cfg.Log.Info("queued job failed: its inputs expire",
+			zap.String("request", j.RequestID), zap.String("service", d.shard.key()), zap.Int("stage", j.Stage), zap.Int("rank", int(j.Rank)),
+			zap.Duration("waited", now.Sub(j.Arrived)))
+		completed := j.Completed()
+		d.complete(j, Failed{InputsGone: true, Err: errInputsGone})
+		d.owner.release(d.shard, completed)
+	}
+}
+
 // startCall calls an upstream with a batch. The caller holds mu.
 func (d *dispatcher) startCall(now time.Time, u catalog.Upstream, batch []batching.Piece) {
 	s := d.upstream(u.ID)
--- a/internal/dispatch/batcher/remote.go
+++ b/internal/dispatch/batcher/remote.go
@@ -40,6 +40,7 @@
 
 		ResultBytes: j.ResultBytes,
 		InputBytes:  j.InputBytes,
+		InputsTtlMs: j.InputsTTL.Milliseconds(),
 		Shard:       j.shardZone,
 	}
 }
@@ -60,6 +61,7 @@
 
 		ResultBytes: m.ResultBytes,
 		InputBytes:  m.InputBytes,
+		InputsTTL:   time.Duration(m.InputsTtlMs) * time.Millisecond,
 		shardZone:   m.Shard,
 	}
 }
@@ -70,6 +72,7 @@
 	case Completed:
 		m.Handles = r.Handles
 		m.QueuedMs = r.Queued.Milliseconds()
+		m.OldestMs = r.Oldest.Milliseconds()
 		m.Calls = uint32(r.Calls)
 		m.Backlog = backlogMessage(r.Backlog)
 	case Refused:
@@ -89,7 +92,13 @@
 	backlog := backlogOf(m.Backlog)
 	switch m.Failure {
 	case "":
-		return Completed{Handles: m.Handles, Queued: time.Duration(m.QueuedMs) * time.Millisecond, Calls: int(m.Calls), Backlog: backlog}
+		return Completed{
+			Handles: m.Handles,
+			Queued:  time.Duration(m.QueuedMs) * time.Millisecond,
+			Calls:   int(m.Calls),
+			Oldest:  time.Duration(m.OldestMs) * time.Millisecond,
+			Backlog: backlog,
+		}
 	case failureRefused:
 		return Refused{RetryAfter: time.Duration(m.RetryMs) * time.Millisecond, Backlog: backlog}
 	case failureInputsGone:
--- a/internal/dispatch/batcher/router.go
+++ b/internal/dispatch/batcher/router.go
@@ -190,10 +190,13 @@
 // remembered.
 const lostRetention = time.Minute
 
-// WithElapsed returns the job with its Timeout and Objective reduced by d.
+// WithElapsed returns the job with its Timeout, Objective and InputsTTL reduced by d.
 func (j Job) WithElapsed(d time.Duration) Job {
 	j.Timeout -= d
 	j.Objective -= d
+	if j.InputsTTL > 0 {
+		j.InputsTTL = max(time.Millisecond, j.InputsTTL-d)
+	}
 	return j
 }
 
--- a/internal/serve/batching/job.go
+++ b/internal/serve/batching/job.go
@@ -29,6 +29,9 @@
 	ResultBytes int64
 	// InputBytes is the total size of all inputs.
 	InputBytes int64
+	// InputsExpire is the time at which the first of the inputs expires, zero if that is
+	// not known.
+	InputsExpire time.Time
 
 	handles   []string
 	pending   []int
--- a/internal/serve/batching/queue.go
+++ b/internal/serve/batching/queue.go
@@ -241,6 +241,11 @@
 // a call.
 func (j *Job) late(now time.Time, callTime time.Duration) bool { return j.slack(now, callTime) < 0 }
 
+// expiresWithin reports whether an input of the job expires before now+d.
+func (j *Job) expiresWithin(now time.Time, d time.Duration) bool {
+	return !j.InputsExpire.IsZero() && j.InputsExpire.Sub(now) < d
+}
+
 // slack returns how long the job can still wait and meet its objective.
 func (j *Job) slack(now time.Time, callTime time.Duration) time.Duration {
 	return j.Objective.Sub(now) - j.Remaining - callTime
@@ -277,6 +282,21 @@
 	j.pending = nil
 }
 
+// RemoveExpired removes and returns the jobs whose inputs expire before now+fetch, the
+// time that an upstream takes to fetch them. Calls with them would be in vain.
+func (q *Queue) RemoveExpired(now time.Time, fetch time.Duration) []*Job {
+	var out []*Job
+	for _, j := range q.jobs {
+		if j.expiresWithin(now, fetch) {
+			out = append(out, j)
+		}
+	}
+	for _, j := range out {
+		q.Remove(j)
+	}
+	return out
+}
+
 // RemoveInfeasible removes and returns the jobs that can't be completed before
 // their deadline, given the jobs that are served before them.
 func (q *Queue) RemoveInfeasible(now time.Time, upstreams float64) []*Job {
--- a/internal/serve/batching/queue_test.go
+++ b/internal/serve/batching/queue_test.go
@@ -69,6 +69,24 @@
 	}
 }
 
+// Guards against calls whose inputs expire before the upstream can fetch them: their work
+// is lost, and so is that of the stage before.
+func TestRemoveExpired(t *testing.T) {
+	q := NewQueue(cfg)
+	fetch := 100 * time.Millisecond
+	expiring, fresh, without := newJob("a", 2, 0, time.Second), newJob("b", 2, 0, time.Second), newJob("c", 2, 0, time.Second)
+	expiring.InputsExpire, fresh.InputsExpire = t0.Add(fetch/2), t0.Add(2*fetch)
+	for _, j := range []*Job{expiring, fresh, without} {
+		q.Push(j)
+	}
+	if got := q.RemoveExpired(t0, fetch); len(got) != 1 || got[0] != expiring {
+		t.Errorf("removed %d jobs, want only the one whose inputs expire", len(got))
+	}
+	if got, want := q.Waiting(), 4; got != want {
+		t.Errorf("%d pieces wait, want %d", got, want)
+	}
+}
+
 func TestRequeueRemoveAndRemoveInfeasible(t *testing.T) {
 	q := NewQueue(cfg)
 	a := newJob("a", 2, 0, time.Second)
