state/evacuation, state/fsm, fleet/replica: evacuated zones in the replicated state

An operator's order to evacuate an availability zone, or to revoke that, is a command of the log. Each order names the zone's last change that its proposer had seen: a copy that is proposed late is rejected as a conflict and cannot undo a later order. A copy that asks for the present state succeeds.

--- a/internal/fleet/replica/actor.go
+++ b/internal/fleet/replica/actor.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"hawthornhub.example/hawthornhub/internal/state/disk"
+	"hawthornhub.example/hawthornhub/internal/state/evacuation"
 	"hawthornhub.example/hawthornhub/internal/state/fsm"
 	"hawthornhub.example/hawthornhub/internal/state/raft"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
@@ -70,7 +71,10 @@
 	// notifiedVersion is the version of the site document last passed to
 	// Config.OnSiteDocument.
 	notifiedVersion uint64
-	lastRole        raft.Role
+	// notifiedEvacuations is the log index of the evacuated zones last passed to
+	// Config.OnEvacuations.
+	notifiedEvacuations uint64
+	lastRole            raft.Role
 	// peerNames maps the disk identities of senders to instance names. A replica
 	// with an empty log has no other source for them.
 	peerNames map[uint64]string
@@ -321,6 +325,7 @@
 			a.recordDocument(after)
 		}
 		a.notifySiteDocument()
+		a.notifyEvacuations()
 		if e.Command == nil {
 			continue
 		}
@@ -343,6 +348,21 @@
 	a.cfg.OnSiteDocument(d)
 }
 
+// notifyEvacuations calls Config.OnEvacuations if the evacuated zones have changed since
+// the last call.
+func (a *stateActor) notifyEvacuations() {
+	if a.machine == nil || a.cfg.OnEvacuations == nil {
+		return
+	}
+	e := a.machine.Evacuations()
+	if e.Index <= a.notifiedEvacuations {
+		return
+	}
+	a.notifiedEvacuations = e.Index
+	a.cfg.Timeline.Add("evacuate", "", fmt.Sprintf("zones %v evacuated at index %d", evacuation.Zones(e), e.Index))
+	a.cfg.OnEvacuations(e)
+}
+
 // recordDocument adds the commit of a document to the timeline.
 func (a *stateActor) recordDocument(index uint64) {
 	a.cfg.Timeline.Add("commit", "", fmt.Sprintf("document %d", index))
@@ -360,6 +380,7 @@
 	a.cfg.Timeline.Add("restore", "", fmt.Sprintf("snapshot %d", s.Index))
 	a.recordDocument(m.DocumentIndex())
 	a.notifySiteDocument()
+	a.notifyEvacuations()
 }
 
 // completeRead runs a pending read, or fails it with err.
@@ -430,6 +451,7 @@
 	a.node = raft.New(nodeConfig(a.cfg, a.store.Identity()), raft.InitialState{Hard: hard, Snapshot: snap})
 	a.effects = nil
 	a.cfg.Timeline.Add("form", "", fmt.Sprintf("%d voters", len(names)))
+	a.notifyEvacuations()
 	a.publish()
 }
 
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -64,6 +64,9 @@
 	// OnSiteDocument is called with each committed site document (see package
 	// site), in order. It may be nil and must not block.
 	OnSiteDocument func(*statepb.Adopted)
+	// OnEvacuations is called with the evacuated availability zones after the start
+	// and after each change, in order. It may be nil and must not block.
+	OnEvacuations func(*statepb.Evacuations)
 	// Tick is the length of a Raft tick.
 	Tick time.Duration
 	// SnapshotEntries is the number of entries between snapshots.
@@ -161,6 +164,7 @@
 	r.document.Store(&control.LeasedDocument{})
 	a.publish()
 	a.notifySiteDocument()
+	a.notifyEvacuations()
 	r.pid = cfg.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return a }))
 	a.self = r.pid
 	r.wg.Add(2)
--- a/internal/fleet/replica/serve.go
+++ b/internal/fleet/replica/serve.go
@@ -87,6 +87,9 @@
 	if read.Adopted {
 		reply.Adopted = m.SiteDocument()
 	}
+	if read.Evacuations {
+		reply.Evacuations = m.Evacuations()
+	}
 	if read.ClaimKey != "" {
 		reply.Claim = m.Claim(read.ClaimAccount, read.ClaimKey)
 	}
--- a/internal/fleet/watch/current.go
+++ b/internal/fleet/watch/current.go
@@ -32,9 +32,9 @@
 	return fmt.Sprintf("this process has not followed the control instances for %v; send the request to another", e.Age.Round(time.Millisecond))
 }
 
-// bootTime returns the time since the machine started, including the time for which it
+// BootTime returns the time since the machine started, including the time for which it
 // was suspended, which time.Since leaves out.
-func bootTime() time.Duration {
+func BootTime() time.Duration {
 	var ts unix.Timespec
 	// The clock exists on every Linux since 2.6.39, and the address is valid.
 	_ = unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts)
--- a/internal/fleet/watch/current_test.go
+++ b/internal/fleet/watch/current_test.go
@@ -18,7 +18,7 @@
 	e = newEntry(t, "e1", seeds...)
 	var suspended atomic.Int64
 	e.Follower.mu.Lock()
-	e.cfg.Now = func() time.Duration { return bootTime() + time.Duration(suspended.Load()) }
+	e.cfg.Now = func() time.Duration { return BootTime() + time.Duration(suspended.Load()) }
 	e.Follower.mu.Unlock()
 	return e, func(d time.Duration) { suspended.Add(int64(d)) }
 }
--- a/internal/fleet/watch/follower.go
+++ b/internal/fleet/watch/follower.go
@@ -111,7 +111,7 @@
 // NewFollower returns a Follower that connects to the seeds.
 func NewFollower(cfg FollowerConfig) *Follower {
 	if cfg.Now == nil {
-		cfg.Now = bootTime
+		cfg.Now = BootTime
 	}
 	first := cfg.WatchRequest()
 	f := &Follower{cfg: cfg, sources: make(map[string]*source), self: first.GetSelf().GetLink(), documents: newDocuments(first)}
--- a/internal/state/fsm/machine.go
+++ b/internal/state/fsm/machine.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"hawthornhub.example/hawthornhub/internal/state/document"
+	"hawthornhub.example/hawthornhub/internal/state/evacuation"
 	"hawthornhub.example/hawthornhub/internal/state/fence"
 	"hawthornhub.example/hawthornhub/internal/state/ledger"
 	"hawthornhub.example/hawthornhub/internal/state/quota"
@@ -42,6 +43,7 @@
 	counts   map[countKey]callCount
 	// siteDocument is nil until the first one is committed.
 	siteDocument *statepb.Adopted
+	evacuations  *evacuation.State
 }
 
 // New returns a Machine at log index 1 with the given document text.
@@ -51,12 +53,13 @@
 		return nil, err
 	}
 	return &Machine{
-		applied:  1,
-		ledger:   ledger.New(),
-		document: doc,
-		quota:    quota.New(),
-		orders:   &fence.Issuer{},
-		counts:   make(map[countKey]callCount),
+		applied:     1,
+		ledger:      ledger.New(),
+		document:    doc,
+		quota:       quota.New(),
+		orders:      &fence.Issuer{},
+		counts:      make(map[countKey]callCount),
+		evacuations: evacuation.Restore(nil),
 	}, nil
 }
 
@@ -79,6 +82,7 @@
 		orders:       fence.Restore(s.Orders),
 		counts:       make(map[countKey]callCount),
 		siteDocument: s.Adopted,
+		evacuations:  evacuation.Restore(s.Evacuations),
 	}
 	for _, c := range s.Counts {
 		m.counts[countKey{c.Service, c.Account, c.Day}] = callCount{calls: c.Calls, refused: c.Refused}
@@ -99,6 +103,7 @@
 		Counts:      m.ServiceCounts(),
 		Orders:      m.orders.All(),
 		Adopted:     m.siteDocument,
+		Evacuations: m.evacuations.Proto(),
 	}
 	return proto.MarshalOptions{Deterministic: true}.Marshal(s)
 }
@@ -133,6 +138,8 @@
 		return &statepb.Result{Kind: statepb.ResultKind_RESULT_KIND_OK, Number: m.orders.Issue(index, m.nowMs, body.Order)}
 	case *statepb.Command_Adopt:
 		return m.adopt(index, body.Adopt)
+	case *statepb.Command_Evacuate:
+		return m.evacuations.Apply(index, body.Evacuate)
 	case *statepb.Command_Sweep:
 		return m.sweep()
 	default:
--- a/internal/state/fsm/machine_test.go
+++ b/internal/state/fsm/machine_test.go
@@ -135,7 +135,7 @@
 	key := keyAt(startMs, rapid.IntRange(0, 5).Draw(t, "key"))
 	attempt := uint32(rapid.IntRange(1, 3).Draw(t, "attempt"))
 	c := &statepb.Command{NowMs: nowMs}
-	switch rapid.IntRange(0, 6).Draw(t, "command") {
+	switch rapid.IntRange(0, 7).Draw(t, "command") {
 	case 0:
 		return claimCommand(nowMs, key, "a")
 	case 1:
@@ -155,6 +155,10 @@
 		c.Body = &statepb.Command_Grant{Grant: &statepb.Grant{Account: "dakgoot", Units: 20}}
 	case 5:
 		c.Body = &statepb.Command_Order{Order: &statepb.Order{Id: key, Upstream: "u", Action: "load"}}
+	case 6:
+		c.Body = &statepb.Command_Evacuate{Evacuate: &statepb.Evacuate{
+			Zone: fmt.Sprint("z", attempt), Revoke: rapid.Bool().Draw(t, "revoke"), Seen: uint64(rapid.IntRange(0, 60).Draw(t, "seen")),
+		}}
 	default:
 		c.Body = &statepb.Command_Sweep{Sweep: &statepb.Sweep{}}
 	}
--- a/internal/state/fsm/query.go
+++ b/internal/state/fsm/query.go
@@ -41,3 +41,6 @@
 
 // Orders returns the kept orders, oldest first.
 func (m *Machine) Orders() []*statepb.OrderState { return m.orders.All() }
+
+// Evacuations returns the evacuated availability zones. The caller must not modify them.
+func (m *Machine) Evacuations() *statepb.Evacuations { return m.evacuations.Proto() }
