fleet/watch: evacuated zones in News, and a wait for the entries that act on them

The evacuated zones and their log index are sent to entries with News, and each News names the index. An entry acknowledges them once it acts on them, and an older index never replaces a newer one.

--- a/internal/fleet/watch/changes.go
+++ b/internal/fleet/watch/changes.go
@@ -11,10 +11,11 @@
 	peerChange
 	documentChange
 	breakerChange
+	evacuationChange
 )
 
 // key identifies an item of the hub's state: an upstream, a process or the breaker of a
-// prompt segment by its ID or name, or the site document.
+// prompt segment by its ID or name, the site document or the evacuated zones.
 type key struct {
 	kind changeKind
 	id   string
--- a/internal/fleet/watch/current.go
+++ b/internal/fleet/watch/current.go
@@ -48,6 +48,9 @@
 	confirmed time.Duration
 	// agreed is such a time for the last News whose digest agreed with the own one.
 	agreed time.Duration
+	// zonesKnown is such a time for the last News of a control instance that was sure to
+	// know the evacuated zones.
+	zonesKnown time.Duration
 	// behind is set after a gap of staleAfter, noticed at behindSince, until the state
 	// is known again.
 	behind      bool
@@ -57,7 +60,8 @@
 }
 
 // AwaitCurrent returns once this process knows the present state: if it has heard from
-// no control instance for a while, it waits for News and the document that these offer.
+// no control instance for a while, it waits for News, and for the document and the evacuated
+// zones that these offer.
 // A process that no control instance has been connected to for resyncTimeout goes on
 // with what it knows; one that was suspended may just have lost its connections. The
 // error is a *StaleError after resyncTimeout, or that of ctx.
@@ -93,7 +97,7 @@
 	fr, now, newest := &f.freshness, f.cfg.Now(), f.newestSource()
 	fr.noteGap(now)
 	settled := newest != nil && (newest.document <= f.documents.settled || f.cfg.OnDocument == nil)
-	if settled && fr.caughtUp(now) {
+	if settled && fr.caughtUp(now) && f.evacuationsSettled(fr) {
 		fr.behind = false
 	}
 	if !fr.behind || newest == nil && now-fr.behindSince >= resyncTimeout {
--- a/internal/fleet/watch/doc.go
+++ b/internal/fleet/watch/doc.go
@@ -1,6 +1,7 @@
 // Package watch propagates the state that control instances hold to the
 // processes that act on it: announcements of upstreams, the site document (see
-// package site) and the list of processes.
+// package site), the evacuated availability zones (see package evacuation) and the list of
+// processes.
 //
 // A Hub runs on each control instance; a Follower keeps one stream to every control
 // instance it knows of. The hub numbers its changes and remembers the number of the
@@ -11,9 +12,10 @@
 // while it was away.
 //
 // Messages may arrive in any order and more than once, as both ends merge them:
-// upstreams as package catalog does, site documents by version. A hub passes on what
-// upstreams announce to it, and other hubs are watchers too. What a watcher lacks all
-// the same, it finds by comparing the digest in each message with its own.
+// upstreams as package catalog does, site documents by version, evacuated zones by log
+// index. A hub passes on what upstreams announce to it, and other hubs are watchers too.
+// What a watcher lacks all the same, it finds by comparing the digest in each message with
+// its own.
 //
 // Only hubs tell each other which upstreams are alive. Other watchers are told when one
 // falls silent and when it is heard again, and take an upstream for silent if no
--- a/internal/fleet/watch/follower.go
+++ b/internal/fleet/watch/follower.go
@@ -59,6 +59,9 @@
 	// are sequential. After an error, the control instances are not told that the
 	// document is in force. nil asks for no documents.
 	OnDocument func(*statepb.Adopted) error
+	// OnEvacuations puts evacuated zones in force that are newer than any before. It
+	// returns once nothing is sent there any more. Calls are sequential; nil ignores them.
+	OnEvacuations func(*statepb.Evacuations)
 	// OnSilence is called with the IDs of the upstreams that no connected control
 	// instance hears, whenever the set changes; nil ignores them. It must not call the
 	// Follower.
@@ -100,7 +103,9 @@
 	freshness freshness
 	// documents is what is known of the site document.
 	documents documents
-	// applying is held while a document is put in force. It is locked before mu.
+	// evacuations is what is known of the evacuated zones.
+	evacuations evacuations
+	// applying is held while a document or evacuated zones are put in force. It is locked before mu.
 	applying sync.Mutex
 	// view is the present list of processes, nil after a change.
 	view atomic.Pointer[View]
@@ -306,6 +311,7 @@
 			return errRelay
 		}
 		f.cfg.OnNews(n)
+		f.applyEvacuations(n.Evacuations)
 		f.handleNews(s, st, n)
 		f.applyDocument(n.Adopted)
 		if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_NewsSeen{NewsSeen: f.acknowledgement(s, n)}}); err != nil {
@@ -319,7 +325,7 @@
 	f.mu.Lock()
 	s.ackedAt = f.cfg.Now()
 	f.mu.Unlock()
-	seen := &fleetpb.NewsSeen{Seq: n.Seq, Digests: f.compare(s, n, time.Now()), Document: f.documentInForce()}
+	seen := &fleetpb.NewsSeen{Seq: n.Seq, Digests: f.compare(s, n, time.Now()), Document: f.documentInForce(), EvacuationIndex: f.evacuationsInForce()}
 	if n.Whole && f.cfg.Departed != nil {
 		seen.Upstreams = f.cfg.Departed()
 	}
@@ -354,7 +360,7 @@
 	w := f.cfg.WatchRequest()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w.Incarnation, w.Seq = s.incarnation, s.seq
+	w.Incarnation, w.Seq, w.EvacuationIndex = s.incarnation, s.seq, f.evacuations.inForce
 	s.ackedAt = f.cfg.Now()
 	return w
 }
@@ -372,6 +378,9 @@
 	s.apply(n)
 	f.received = f.received.with(n)
 	f.freshness.confirm(s.ackedAt, f.cfg.Now(), agrees)
+	if n.EvacuationIndex > 0 {
+		f.freshness.zonesKnown = max(f.freshness.zonesKnown, s.ackedAt)
+	}
 	f.signalCurrent()
 	if joined || len(n.Peers) > 0 || len(n.Gone) > 0 {
 		f.view.Store(nil)
--- a/internal/fleet/watch/hub.go
+++ b/internal/fleet/watch/hub.go
@@ -41,7 +41,11 @@
 	Table *catalog.Table
 	// Voters returns the link addresses of the voters of the Raft log.
 	Voters func() []string
-	Log    *zap.Logger
+	// EvacuationsCurrent reports whether the evacuated zones that this instance knows are
+	// sure to be the present ones. If not, watchers are told that they may not be; nil
+	// stands for true.
+	EvacuationsCurrent func() bool
+	Log                *zap.Logger
 }
 
 // Hub tells its watchers of each change. It is safe for concurrent use.
@@ -54,6 +58,8 @@
 	watchers     map[*watcher]bool
 	changes      *changes
 	siteDocument *statepb.Adopted
+	// evacuations are the evacuated zones, nil until they are known.
+	evacuations *statepb.Evacuations
 	// board decides on the breakers of prompt segments.
 	board *breaker.Board
 	// peers holds the listed processes by name: this instance, its watchers and the
@@ -213,13 +219,15 @@
 		return nil
 	}
 	w := &watcher{
-		peer:      first.GetSelf(),
-		document:  first.GetVersion(),
-		whole:     true,
-		heard:     make(map[string]bool),
-		wake:      make(chan struct{}, 1),
-		ackSignal: make(chan struct{}),
-		removed:   make(chan struct{}),
+		peer:     first.GetSelf(),
+		document: first.GetVersion(),
+
+		evacuations: first.GetEvacuationIndex(),
+		whole:       true,
+		heard:       make(map[string]bool),
+		wake:        make(chan struct{}, 1),
+		ackSignal:   make(chan struct{}),
+		removed:     make(chan struct{}),
 	}
 	if first.GetIncarnation() == h.incarnation && h.changes.holdsSince(first.GetSeq()) {
 		w.whole, w.sent, w.acked = false, first.GetSeq(), first.GetSeq()
@@ -291,6 +299,7 @@
 		return
 	}
 	w.document = max(w.document, ack.GetDocument())
+	w.evacuations = max(w.evacuations, ack.GetEvacuationIndex())
 	w.fetch = w.fetch || ack.GetFetch()
 	w.signalAck()
 	w.wakeUp()
--- a/internal/fleet/watch/news.go
+++ b/internal/fleet/watch/news.go
@@ -55,6 +55,7 @@
 	h.describeHeard(n, w, now)
 	h.describeBuckets(n, w, now)
 	h.describeDocument(n, w)
+	h.describeEvacuations(n, w)
 	h.stats = h.stats.withSent(n, w.recordSent(n, now))
 	return n, 0
 }
@@ -76,8 +77,8 @@
 		}
 	case breakerChange:
 		n.Breakers = append(n.Breakers, h.board.Get(k.id).Proto(now))
-	case documentChange:
-		// Each News has the version of the document.
+	case documentChange, evacuationChange:
+		// Each News has the versions of both.
 	}
 }
 
--- a/internal/fleet/watch/source.go
+++ b/internal/fleet/watch/source.go
@@ -31,6 +31,9 @@
 	ackedAt time.Duration
 	// document is the version of the site document that it offers.
 	document uint64
+	// evacuations is the log index of the evacuated zones in the last News, 0 if the
+	// control instance was not sure of them.
+	evacuations uint64
 	// peers holds the processes that it lists by name, and silent the IDs of the
 	// upstreams that it does not hear. Both are kept while it is disconnected.
 	peers  map[string]*fleetpb.Peer
@@ -49,7 +52,7 @@
 
 // apply takes over the changes of a News.
 func (s *source) apply(n *fleetpb.News) {
-	s.incarnation, s.seq, s.document = n.Incarnation, n.Seq, n.Document
+	s.incarnation, s.seq, s.document, s.evacuations = n.Incarnation, n.Seq, n.Document, n.EvacuationIndex
 	if n.Whole {
 		s.previousPeers = s.peers
 		s.peers, s.silent = make(map[string]*fleetpb.Peer), make(map[string]bool)
--- a/internal/fleet/watch/watch_test.go
+++ b/internal/fleet/watch/watch_test.go
@@ -65,6 +65,8 @@
 		Voters: func() []string { return nil },
 		Log:    zap.NewNop(),
 	})
+	// A replica publishes its state when it starts.
+	c.hub.SetEvacuations(evacuationOf(1))
 	close(ready)
 	c.stop = sync.OnceFunc(func() {
 		c.hub.Close()
@@ -83,6 +85,11 @@
 	// ackDelay delays the acknowledgement of News.
 	ackDelay time.Duration
 	version  uint64
+	// zones are the evacuated zones that the entry acts on, and zonesIndex is their log
+	// index. zonesDelay delays that it acts on them.
+	zones      []string
+	zonesIndex uint64
+	zonesDelay time.Duration
 	// onNews is called with each News; nil ignores them.
 	onNews func(*fleetpb.News)
 }
@@ -121,6 +128,8 @@
 			e.version = a.GetVersion()
 			return nil
 		},
+		OnEvacuations: e.applyEvacuations,
+
 		OnSilence: func(ids map[string]bool) { e.table.SetSilent(ids, time.Now()) },
 		Digests:   e.table.Digests,
 		Log:       zap.NewNop(),
--- a/internal/fleet/watch/watcher.go
+++ b/internal/fleet/watch/watcher.go
@@ -15,6 +15,8 @@
 	peer *fleetpb.Peer
 	// document is the version of the site document that is in force at the watcher.
 	document uint64
+	// evacuations is the log index of the evacuated zones that the watcher acts on.
+	evacuations uint64
 	// fetch is set while the watcher waits for the site document.
 	fetch bool
 	// sent is the number of the last change sent, acked the last one acknowledged.
@@ -62,9 +64,9 @@
 	case RoleRelay:
 		return k.kind == peerChange
 	case RoleControl:
-		// Control instances have documents from the log, and decide on breakers by
-		// themselves.
-		return k.kind != documentChange && k.kind != breakerChange
+		// Control instances have documents and evacuated zones from the log, and decide on
+		// breakers by themselves.
+		return k.kind != documentChange && k.kind != breakerChange && k.kind != evacuationChange
 	default:
 		return true
 	}
