api/registry, platform: orders to evacuate and restore availability zones

POST and DELETE /v1/evacuations/ZONE are committed to the log and acknowledged once every connected entry acts on them. An order is dropped if it cannot be proposed within 2.5 s of its arrival, by a clock that counts suspended time, or if its caller's connection is closed: the operator may have given a later one by then. A registry passes on the zones as the present ones only while it has followed the leader without a gap since a confirmed read.

--- a/cmd/hawthornhub/registry.go
+++ b/cmd/hawthornhub/registry.go
@@ -22,6 +22,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/replica"
 	"hawthornhub.example/hawthornhub/internal/fleet/watch"
 	"hawthornhub.example/hawthornhub/internal/operator/settings"
+	"hawthornhub.example/hawthornhub/internal/state/evacuation"
 	"hawthornhub.example/hawthornhub/internal/state/raft"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 	"hawthornhub.example/hawthornhub/platform"
@@ -60,6 +61,7 @@
 	replicaReady chan struct{}
 	follower     atomic.Pointer[watch.Follower]
 	linkServer   *link.Server
+	server       atomic.Pointer[registry.Server]
 	// http serves upstreams and operators.
 	http *http.Server
 }
@@ -86,7 +88,13 @@
 	s := p.settings
 	p.system = process.NewActorSystem(p.log)
 	p.upstreams = catalog.New(catalog.Config{})
-	p.hub = watch.NewHub(watch.HubConfig{Self: func() *fleetpb.Peer { return p.selfPeer(watch.RoleControl) }, Table: p.upstreams, Voters: p.voters, Log: p.log})
+	p.hub = watch.NewHub(watch.HubConfig{
+		Self:               func() *fleetpb.Peer { return p.selfPeer(watch.RoleControl) },
+		Table:              p.upstreams,
+		Voters:             p.voters,
+		EvacuationsCurrent: p.evacuationsCurrent,
+		Log:                p.log,
+	})
 	p.replicaPool = p.newPool()
 	var err error
 	p.linkServer, err = link.Listen(link.ServerConfig{Address: s.Listen.Link, Local: p.local, Auth: p.auth, Handle: p.handle, Log: p.log})
@@ -103,6 +111,7 @@
 		JoinOnly:        !s.Replica.Bootstrap,
 		TargetVoters:    2*s.Replica.MaxFailures + 1,
 		OnSiteDocument:  p.hub.SetSiteDocument,
+		OnEvacuations:   p.hub.SetEvacuations,
 		Tick:            registryRaftTick,
 		SnapshotEntries: registrySnapshotEntries,
 		Pool:            p.replicaPool,
@@ -128,10 +137,18 @@
 	}))
 	p.startGauges(p.updateGauges)
 	server := registry.New(registry.Config{Hub: p.hub, Replica: r, Pool: p.replicaPool, Decode: platform.DecodeSubmitted, Log: p.log})
-	p.http = &http.Server{Handler: platform.RegistryMux(server), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: httpIdleTimeout}
+	p.server.Store(server)
+	p.http = &http.Server{Handler: platform.RegistryMux(server), ConnContext: registry.ConnContext, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: httpIdleTimeout}
 	return errors.Join(p.serveHealth(p.checkReady), p.serveOn(s.Listen.Registry, p.http))
 }
 
+// evacuationsCurrent reports whether the evacuated zones that the hub knows are sure to be
+// the present ones.
+func (p *registryProcess) evacuationsCurrent() bool {
+	s := p.server.Load()
+	return s != nil && s.EvacuationsCurrent()
+}
+
 // updateGauges updates the gauges. It also makes the follower watch the current
 // Raft voters, and removes expired upstreams from the catalog.
 func (p *registryProcess) updateGauges(scope tally.Scope) {
@@ -155,6 +172,7 @@
 	halfOpen, open := p.hub.Breakers()
 	scope.Gauge("breakers_half_open").Update(float64(halfOpen))
 	scope.Gauge("breakers_open").Update(float64(open))
+	scope.Gauge("zones_evacuated").Update(float64(len(evacuation.Zones(p.hub.Evacuations()))))
 	scope.Gauge("news_whole").Update(float64(news.Whole))
 }
 
@@ -239,7 +257,7 @@
 	transferCtx, cancel := context.WithTimeout(ctx, leaderTransferTimeout)
 	defer cancel()
 	r.TransferLeadership(transferCtx)
-	err := errors.Join(p.http.Shutdown(ctx), p.follower.Load().Close(), p.hub.Close(), p.linkServer.Close(), r.Close(), p.replicaPool.Close())
+	err := errors.Join(p.http.Shutdown(ctx), p.server.Load().Close(), p.follower.Load().Close(), p.hub.Close(), p.linkServer.Close(), r.Close(), p.replicaPool.Close())
 	p.system.Shutdown()
 	p.close()
 	return err
--- a/internal/api/registry/server.go
+++ b/internal/api/registry/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -47,7 +48,10 @@
 	Pool    *link.Pool
 	// Decode parses a site document. The Server validates it.
 	Decode func(text []byte) (*site.Document, error)
-	Log    *zap.Logger
+	// Now is a clock that also counts while the machine is suspended; nil uses the
+	// system's.
+	Now func() time.Duration
+	Log *zap.Logger
 }
 
 // Server is the registry of one control instance. It is safe for concurrent
@@ -55,10 +59,25 @@
 type Server struct {
 	cfg     Config
 	started time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	// mu guards currency, which is that of the evacuated zones.
+	mu       sync.Mutex
+	currency currency
 }
 
 // New returns a Server.
-func New(cfg Config) *Server { return &Server{cfg: cfg, started: time.Now()} }
+func New(cfg Config) *Server {
+	if cfg.Now == nil {
+		cfg.Now = watch.BootTime
+	}
+	s := &Server{cfg: cfg, started: time.Now()}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.wg.Add(1)
+	go s.confirmLoop()
+	return s
+}
 
 // InvalidDocumentError reports that a document cannot be parsed or is invalid.
 type InvalidDocumentError struct{ Err error }
--- a/internal/api/registry/server_test.go
+++ b/internal/api/registry/server_test.go
@@ -37,6 +37,12 @@
 	entry   *watch.Follower
 	// delay is how long the entry takes to apply a News, in nanoseconds.
 	delay atomic.Int64
+	// zonesDelay is how long the entry takes to act on evacuated zones, in nanoseconds,
+	// and zones are those that it acts on.
+	zonesDelay atomic.Int64
+	zones      atomic.Pointer[statepb.Evacuations]
+	// suspended is added to the clock of the server, in nanoseconds.
+	suspended atomic.Int64
 	// version is that of the site document that the entry has applied.
 	version atomic.Uint64
 }
@@ -59,7 +65,7 @@
 	system := actor.NewActorSystem()
 	r, err := replica.Start(replica.Config{
 		Name: address, DataDir: t.TempDir(), Peers: []control.Address{{Name: address, Link: address}},
-		OnSiteDocument: hub.SetSiteDocument, Tick: 10 * time.Millisecond, SnapshotEntries: 64,
+		OnSiteDocument: hub.SetSiteDocument, OnEvacuations: hub.SetEvacuations, Tick: 10 * time.Millisecond, SnapshotEntries: 64,
 		Pool: pool, System: system, Timeline: timeline.NewRecorder(timeline.Config{}), Log: zap.NewNop(),
 		Fatal: func(err error) { t.Error(err) },
 	})
@@ -73,21 +79,29 @@
 		t.Fatal(err)
 	}
 	i := &instance{address: address, hub: hub}
-	i.server = New(Config{Hub: hub, Replica: r, Pool: pool, Decode: decode, Log: zap.NewNop()})
+	i.server = New(Config{
+		Hub: hub, Replica: r, Pool: pool, Decode: decode, Log: zap.NewNop(),
+		Now: func() time.Duration { return watch.BootTime() + time.Duration(i.suspended.Load()) },
+	})
 	i.entry = watch.NewFollower(watch.FollowerConfig{
 		Pool: pool, Seeds: []string{address},
 		WatchRequest: func() *fleetpb.Watch {
-			return &fleetpb.Watch{Self: &fleetpb.Peer{Name: "e", Role: watch.RoleEntry, Link: "e"}}
+			return &fleetpb.Watch{Self: &fleetpb.Peer{Name: "e", Role: watch.RoleEntry, Zone: "z1", Link: "e"}}
 		},
 		OnNews: func(*fleetpb.News) { time.Sleep(time.Duration(i.delay.Load())) },
 		OnDocument: func(a *statepb.Adopted) error {
 			i.version.Store(a.GetVersion())
 			return nil
 		},
+		OnEvacuations: func(e *statepb.Evacuations) {
+			time.Sleep(time.Duration(i.zonesDelay.Load()))
+			i.zones.Store(e)
+		},
 		Log: zap.NewNop(),
 	})
 	t.Cleanup(func() {
 		i.entry.Close()
+		i.server.Close()
 		linkServer.Close()
 		hub.Close()
 		r.Close()
