serve/zonefilter, hawthornhub, api/gateway, batcher: entries send nothing to evacuated zones

A filter is a rule for the upstreams that may be called and shortens the lists by which services are split and stages are placed. If every upstream of a service that a request needs is evacuated, it is refused at once. Pieces that wait in a shard without upstreams are run in other zones.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -27,6 +27,7 @@
 	"hawthornhub.example/hawthornhub/internal/operator/settings"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
 	"hawthornhub.example/hawthornhub/internal/serve/eligible"
+	"hawthornhub.example/hawthornhub/internal/serve/zonefilter"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
@@ -64,14 +65,18 @@
 	*siteProcess
 	upstreams *catalog.Table
 	// rules tell which upstreams may be called at the moment.
-	rules       eligible.Rules
-	balancer    *balance.Balancer
-	breakers    *breaker.Guard
-	transport   *transport.Pool
-	batchOwner  *batcher.Owner
-	batchRouter *batcher.Router
-	server      *gateway.Server
-	follower    atomic.Pointer[watch.Follower]
+	rules eligible.Rules
+	// zones keeps requests from evacuated availability zones.
+	zones *zonefilter.Filter
+	// zoneRestored is called with each zone whose evacuation has ended.
+	zoneRestored func(zone string)
+	balancer     *balance.Balancer
+	breakers     *breaker.Guard
+	transport    *transport.Pool
+	batchOwner   *batcher.Owner
+	batchRouter  *batcher.Router
+	server       *gateway.Server
+	follower     atomic.Pointer[watch.Follower]
 	// batchOwners caches the result of batchOwnerAddresses.
 	batchOwners atomic.Pointer[batchOwners]
 	linkServer  *link.Server
@@ -101,11 +106,14 @@
 	g.balancer = balance.New(balance.Config{Zone: s.Zone, Random: rand.IntN})
 	g.breakers = breaker.NewGuard(breaker.GuardConfig{Report: g.reportPrompts, Rank: g.trialRank, Log: g.log})
 	g.upstreams = catalog.New(catalog.Config{OnChange: g.onUpstreamChange})
+	g.zones = zonefilter.New(zonefilter.Config{Random: rand.Float64})
+	g.zoneRestored = func(string) {}
+	g.rules = eligible.Rules{g.zones}
 	g.transport = transport.NewPool(transport.Config{Classify: platform.Classify, Permit: g.permitSend, Log: g.log})
 	g.batchOwner = batcher.NewOwner(batcher.Config{
 		Send:      g.transport.Send,
 		Codec:     platform.PieceCodec(),
-		Upstreams: g.upstreams.Ready,
+		Upstreams: g.availableUpstreams,
 		Rules:     g.rules,
 		Service:   g.findService,
 		Log:       g.log,
@@ -116,8 +124,9 @@
 		Send:           g.transport.Send,
 		AwaitCurrent:   g.awaitCurrent,
 		UpstreamEnded:  g.upstreamEnded,
-		Upstreams:      g.upstreams.Ready,
+		Upstreams:      g.offeredUpstreams,
 		Rules:          g.rules,
+		Evacuated:      g.evacuatedUpstreams,
 		RunStage:       g.batchRouter.Do,
 		ReleaseResults: g.batchRouter.Release,
 		QueueWait:      g.batchRouter.QueueWait,
@@ -137,14 +146,15 @@
 		return err
 	}
 	g.follower.Store(watch.NewFollower(watch.FollowerConfig{
-		Pool:         g.pool,
-		Seeds:        s.ControlAddresses(),
-		WatchRequest: g.watchRequest,
-		OnNews:       g.applyNews,
-		OnDocument:   g.applyDocument,
-		OnSilence:    func(ids map[string]bool) { g.upstreams.SetSilent(ids, time.Now()) },
-		Digests:      g.upstreams.Digests,
-		Departed:     func() []*fleetpb.UpstreamWord { return g.upstreams.Departed(time.Now()) },
+		Pool:          g.pool,
+		Seeds:         s.ControlAddresses(),
+		WatchRequest:  g.watchRequest,
+		OnNews:        g.applyNews,
+		OnDocument:    g.applyDocument,
+		OnEvacuations: g.applyEvacuations,
+		OnSilence:     func(ids map[string]bool) { g.upstreams.SetSilent(ids, time.Now()) },
+		Digests:       g.upstreams.Digests,
+		Departed:      func() []*fleetpb.UpstreamWord { return g.upstreams.Departed(time.Now()) },
 		Lacking: func(buckets []uint32, known []*fleetpb.UpstreamWord) []*fleetpb.UpstreamWord {
 			return g.upstreams.Lacking(buckets, known, time.Now())
 		},
@@ -268,7 +278,7 @@
 // is gone.
 func (g *gatewayProcess) upstreamEnded(ctx context.Context, u catalog.Upstream) bool {
 	known, ok := g.upstreams.Get(u.ID)
-	if !ok || known.StartTimeMs != u.StartTimeMs || known.State != catalog.Ready {
+	if !ok || known.StartTimeMs != u.StartTimeMs || known.State != catalog.Ready || g.zones.Evacuated(known.Zone) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
@@ -387,6 +397,7 @@
 	halfOpen, open := g.breakers.Counts()
 	scope.Gauge("breakers_half_open").Update(float64(halfOpen))
 	scope.Gauge("breakers_open").Update(float64(open))
+	scope.Gauge("zones_evacuated").Update(float64(g.zones.Count()))
 	scope.Gauge("entries").Update(float64(g.entryCount()))
 	if x := g.server.Index(); x != nil {
 		scope.Gauge("document_version").Update(float64(x.Version))
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -86,7 +86,7 @@
 		q.server.writeFailure(w, q, f)
 		return
 	}
-	if f := q.checkPrompt(); f != nil {
+	if f := orElse(q.checkPrompt(), q.checkZones()); f != nil {
 		q.server.writeFailure(w, q, f)
 		return
 	}
@@ -218,6 +218,9 @@
 		info.Zone = q.stageZone()
 	}
 	now := time.Now()
+	if q.server.evacuated(q.service.Name) > 0 {
+		q.server.cfg.Metrics.Counter("requests_kept_from_zones").Inc(1)
+	}
 	callable, wait := q.server.cfg.Rules.Filter(now, q.server.cfg.Upstreams(q.service.Name))
 	u, ok = q.server.cfg.Balancer.Pick(now, info, callable)
 	return u, wait, ok
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -46,6 +46,9 @@
 	Upstreams func(service string) []catalog.Upstream
 	// Rules tell which of them may be called at the moment.
 	Rules eligible.Rules
+	// Evacuated returns the number of upstreams of a service that Upstreams leaves out
+	// because their availability zone is evacuated; nil stands for none.
+	Evacuated func(service string) int
 	// RunStage runs the pieces of one stage of a request.
 	RunStage func(ctx context.Context, job batcher.Job) batcher.Result
 	// QueueWait returns the expected queue wait of new work for a service that prefers
--- a/internal/dispatch/batcher/shard.go
+++ b/internal/dispatch/batcher/shard.go
@@ -25,7 +25,9 @@
 	return s.service + "@" + s.zone
 }
 
-// includes returns the upstreams of a service that belong to the shard. The caller
+// includes returns the upstreams of a service that belong to the shard. If there are none
+// left, for example because the zone is evacuated, it returns those of the other zones, so
+// that pieces that wait need not be refused; new jobs go to the shards of those. The caller
 // must not modify the slice.
 func (s shard) includes(upstreams []catalog.Upstream) []catalog.Upstream {
 	if s.zone == "" {
@@ -37,6 +39,9 @@
 			out = append(out, u)
 		}
 	}
+	if len(out) == 0 {
+		return upstreams
+	}
 	return out
 }
 
