--- a/internal/dispatch/batcher/shard_test.go
+++ b/internal/dispatch/batcher/shard_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync/atomic"
 	"testing"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
@@ -101,3 +103,55 @@
 		t.Errorf("%d queues, want %d", got, want)
 	}
 }
+
+// A zone may be evacuated while pieces wait there. They must be run in other zones, nothing
+// more may be sent to the zone, and results there are not released.
+func TestPiecesOfEvacuatedZoneAreStranded(t *testing.T) {
+	fakes := map[string]*fakeUpstream{"a": newFakeUpstream(t), "b": newFakeUpstream(t)}
+	fakes["a"].hold = make(chan struct{})
+	all := map[string][]catalog.Upstream{}
+	for i := range minShardUpstreams {
+		for zone, u := range fakes {
+			all[zone] = append(all[zone], catalog.Upstream{ID: fmt.Sprint(zone, i), Service: "scan", Address: u.address(), Zone: zone, Slots: 1, State: catalog.Ready})
+		}
+	}
+	var evacuated atomic.Bool
+	own := newOwner(t, 1<<40)
+	own.cfg.Upstreams = func(string) []catalog.Upstream {
+		if evacuated.Load() {
+			return all["b"]
+		}
+		return append(slices.Clone(all["a"]), all["b"]...)
+	}
+	r := newRouter(t, own, "self", func() []string { return []string{"self"} })
+	run := func(request string, pieces int) chan Result {
+		done := make(chan Result, 1)
+		job := newJob(request, pieces)
+		job.Zone = "a"
+		go func() { done <- r.Do(context.Background(), job) }()
+		return done
+	}
+	callsIn := func(zone string) int { calls, _ := fakes[zone].recorded(); return len(calls) }
+	// Each upstream of the zone is busy with one call, and more pieces wait.
+	first := run("first", 6*minShardUpstreams)
+	eventually(t, "calls to all upstreams of the zone", func() bool { return callsIn("a") == minShardUpstreams })
+	waiting := run("waiting", 4)
+	eventually(t, "the waiting job", func() bool {
+		d, _ := own.dispatcher(shard{service: "scan", zone: "a"})
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.queue.Waiting() == 4
+	})
+	evacuated.Store(true)
+	checkCompleted(t, <-waiting, "waiting", 4)
+	close(fakes["a"].hold)
+	completed := checkCompleted(t, <-first, "first", 6*minShardUpstreams)
+	r.Release("scan", completed.Handles)
+	checkCompleted(t, <-run("later", 4), "later", 4)
+	if got, want := callsIn("a"), minShardUpstreams; got != want {
+		t.Errorf("%d calls in the evacuated zone, want the %d from before", got, want)
+	}
+	if _, released := fakes["a"].recorded(); len(released) > 0 {
+		t.Errorf("%d results were released in the evacuated zone, want none", len(released))
+	}
+}
