--- a/cmd/hawthornhub/registry.go
+++ b/cmd/hawthornhub/registry.go
@@ -136,7 +136,7 @@
 		Log:     p.log,
 	}))
 	p.startGauges(p.updateGauges)
-	server := registry.New(registry.Config{Hub: p.hub, Replica: r, Pool: p.replicaPool, Decode: platform.DecodeSubmitted, Log: p.log})
+	server := registry.New(registry.Config{Hub: p.hub, Replica: r, Pool: p.replicaPool, Decode: platform.DecodeSubmitted, Entries: p.listedEntries, Log: p.log})
 	p.server.Store(server)
 	p.http = &http.Server{Handler: platform.RegistryMux(server), ConnContext: registry.ConnContext, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: httpIdleTimeout}
 	return errors.Join(p.serveHealth(p.checkReady), p.serveOn(s.Listen.Registry, p.http))
@@ -149,6 +149,15 @@
 	return s != nil && s.EvacuationsCurrent()
 }
 
+// listedEntries returns the names of the entries that any control instance lists.
+func (p *registryProcess) listedEntries() []string {
+	var out []string
+	for _, peer := range p.follower.Load().Peers(watch.RoleEntry) {
+		out = append(out, peer.GetName())
+	}
+	return out
+}
+
 // updateGauges updates the gauges. It also makes the follower watch the current
 // Raft voters, and removes expired upstreams from the catalog.
 func (p *registryProcess) updateGauges(scope tally.Scope) {
--- a/internal/api/registry/evacuation.go
+++ b/internal/api/registry/evacuation.go
@@ -29,6 +29,12 @@
 	// order is not acknowledged earlier: entries that it does not know may act on an older
 	// state.
 	joinPeriod = 2 * time.Second
+	// connectTimeout limits the wait for entries that other control instances list and that
+	// are not connected here, such as after this instance was cut off. They learn of the
+	// order from the others, but this instance is not told when they act on it.
+	connectTimeout = 600 * time.Millisecond
+	// connectPollInterval is the time between two looks for them.
+	connectPollInterval = 20 * time.Millisecond
 	// confirmInterval is the time between two looks whether this instance follows a
 	// leader.
 	confirmInterval = 100 * time.Millisecond
@@ -207,6 +213,7 @@
 // log tells how long it took.
 func (s *Server) waitActed(o order, index uint64) error {
 	time.Sleep(joinPeriod - time.Since(s.started))
+	s.awaitListedEntries(o)
 	ctx, cancel := context.WithTimeout(context.Background(), actTimeout)
 	defer cancel()
 	if lacking := s.cfg.Hub.WaitEvacuations(ctx, index); len(lacking) > 0 {
@@ -218,6 +225,24 @@
 	return nil
 }
 
+// awaitListedEntries returns once the entries that other control instances list are
+// connected here, or after connectTimeout.
+func (s *Server) awaitListedEntries(o order) {
+	if s.cfg.Entries == nil {
+		return
+	}
+	for deadline := time.Now().Add(connectTimeout); ; time.Sleep(connectPollInterval) {
+		missing := s.cfg.Hub.NotWatching(s.cfg.Entries())
+		if len(missing) == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			s.cfg.Log.Warn("entries are not connected here; another control instance tells them", o.fields(zap.Strings("entries", missing))...)
+			return
+		}
+	}
+}
+
 // EvacuatedZones returns the evacuated zones, through a linearizable read.
 func (s *Server) EvacuatedZones(ctx context.Context) (*statepb.Evacuations, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
--- a/internal/api/registry/evacuation_test.go
+++ b/internal/api/registry/evacuation_test.go
@@ -138,6 +138,27 @@
 	}
 }
 
+// Guards against an order that is acknowledged by an instance that has just been found again
+// and does not know all entries, and against one that is held back by an entry that cannot
+// reach this instance.
+func TestOrderWaitsForEntriesThatOthersList(t *testing.T) {
+	i := newInstance(t)
+	i.server.started = time.Now().Add(-joinPeriod)
+	for _, tt := range []struct {
+		listed      []string
+		least, most time.Duration
+	}{{[]string{"e"}, 0, connectTimeout}, {[]string{"e", "elsewhere"}, connectTimeout, connectTimeout + time.Second}} {
+		i.server.cfg.Entries = func() []string { return tt.listed }
+		start := time.Now()
+		if err := i.server.Evacuate(context.Background(), "z1"); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(start); took < tt.least || took > tt.most {
+			t.Errorf("entries %v are listed: acknowledged after %v, want %v to %v", tt.listed, took, tt.least, tt.most)
+		}
+	}
+}
+
 // Guards against an order that is handled although its caller closed the connection before
 // the process came to it, which the end of the request's context does not tell in time.
 func TestClosedConnectionIsNoticedAtOnce(t *testing.T) {
--- a/internal/api/registry/server.go
+++ b/internal/api/registry/server.go
@@ -48,6 +48,9 @@
 	Pool    *link.Pool
 	// Decode parses a site document. The Server validates it.
 	Decode func(text []byte) (*site.Document, error)
+	// Entries returns the names of the entries that any control instance lists; nil
+	// stands for none.
+	Entries func() []string
 	// Now is a clock that also counts while the machine is suspended; nil uses the
 	// system's.
 	Now func() time.Duration
--- a/internal/fleet/watch/evacuations.go
+++ b/internal/fleet/watch/evacuations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -38,6 +39,13 @@
 	return h.waitAll(ctx, func(w *watcher) bool { return w.evacuations >= index || w.peer.GetRole() != RoleEntry })
 }
 
+// NotWatching returns those of the named processes that do not watch this instance.
+func (h *Hub) NotWatching(names []string) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(names), h.watches)
+}
+
 // KnowsZone reports whether an upstream, a process of the fleet or an earlier order names
 // an availability zone.
 func (h *Hub) KnowsZone(zone string) bool {
