api/operator, serve/route, fleet/control, agent, hawthornhub: evacuation on the own interface

Entries and agents get the evacuated zones with the document, as of the same confirmation by a quorum. An order is acknowledged once every entry that is not dead has fetched them. Entries pick no upstream in an evacuated zone, and an agent there refuses calls that have not started. The commands evacuate, restore and status work on control instances and on registries.

--- a/cmd/hawthornbench/client.go
+++ b/cmd/hawthornbench/client.go
@@ -148,13 +148,17 @@
 // callOperatorAPIAs sends a request of a team to the operator API of a control
 // instance.
 func callOperatorAPIAs(control, team, method, path string, body, out any) (int, error) {
-	b, err := json.Marshal(body)
-	if err != nil {
-		return 0, fmt.Errorf("encode request: %w", err)
+	var content io.Reader
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return 0, fmt.Errorf("encode request: %w", err)
+		}
+		content = bytes.NewReader(b)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+control+path, bytes.NewReader(b))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+control+path, content)
 	if err != nil {
 		return 0, fmt.Errorf("build request: %w", err)
 	}
--- a/cmd/hawthornbench/contract_test.go
+++ b/cmd/hawthornbench/contract_test.go
@@ -58,6 +58,7 @@
 		{"client disconnect cancels the call at the upstream", testClientDisconnect},
 		{"stream resumes on another upstream", testStreamFailover},
 		{"leaving upstream gets nothing", testDrain},
+		{"evacuated zone gets nothing", testEvacuation},
 		{"stopped service stops", testStoppedService},
 		{"restart after many edits", testRestartAfterManyEdits},
 	} {
@@ -425,6 +426,83 @@
 	}
 }
 
+// testEvacuation guards against calls to a zone after its evacuation was acknowledged, against
+// a refusal of calls that another zone can take, and against calls that wait when no zone is
+// left.
+func testEvacuation(t *testing.T, f *fleet) {
+	runsIn := func(zone string) int64 {
+		n := int64(0)
+		for _, u := range f.spec.upstreams {
+			if u.zone == zone {
+				n += f.stats(t, u.name).Runs
+			}
+		}
+		return n
+	}
+	order := func(method, zone string) (operator.Evacuation, int) {
+		var out operator.Evacuation
+		code, err := callOperatorAPI(f.control(0), method, "/v1/evacuations/"+zone, nil, &out)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return out, code
+	}
+	book := func(i int) reply {
+		return mustCall(t, request{entry: f.entry(i), account: "dakgoot", pipeline: "booking", key: newKey(), body: caller.Body{Input: "x"}})
+	}
+	callAll := func(n int) {
+		t.Helper()
+		for i := range n {
+			if r := book(i); !r.ok() {
+				t.Errorf("booking %d refused: %+v", i, r.refusal)
+			}
+			if r := mustCall(t, request{entry: f.entry(i), account: "calados", pipeline: "check", body: caller.Body{Input: "x", Tokens: 2}}); !r.ok() {
+				t.Errorf("check %d refused: %+v", i, r.refusal)
+			}
+		}
+	}
+	callAll(10)
+	start := time.Now()
+	for range 2 {
+		if out, code := order(http.MethodPost, "a"); code != http.StatusOK || !out.Evacuated || out.Index == 0 {
+			t.Fatalf("evacuation: status %d, %+v", code, out)
+		}
+	}
+	if took, limit := time.Since(start), 2*time.Second; took > limit {
+		t.Errorf("two orders acknowledged after %v, want less than %v", took, limit)
+	}
+	runs := runsIn("a")
+	callAll(20)
+	if got := runsIn("a"); got != runs {
+		t.Errorf("an evacuated zone got %d calls, want none", got-runs)
+	}
+	var status operator.Status
+	if _, err := callOperatorAPI(f.control(1), http.MethodGet, "/v1/status", nil, &status); err != nil || len(status.Evacuated) != 1 || status.Evacuated[0] != "a" {
+		t.Errorf("status: evacuated zones %v (%v), want [a]", status.Evacuated, err)
+	}
+	for name, want := range map[string]int{"nowhere": http.StatusNotFound, strings.Repeat("x", 200): http.StatusBadRequest} {
+		if _, code := order(http.MethodPost, name); code != want {
+			t.Errorf("evacuation of %.10s: status %d, want %d", name, code, want)
+		}
+	}
+	if _, code := order(http.MethodPost, "b"); code != http.StatusOK {
+		t.Fatalf("evacuation of the other zone: status %d", code)
+	}
+	start = time.Now()
+	if r := book(0); r.ok() || time.Since(start) > time.Second {
+		t.Errorf("without a zone: %+v after %v, want a refusal at once", r, time.Since(start))
+	}
+	for _, zone := range []string{"a", "b"} {
+		if out, code := order(http.MethodDelete, zone); code != http.StatusOK || out.Evacuated {
+			t.Fatalf("restore: status %d, %+v", code, out)
+		}
+	}
+	f.await(t, "calls in the restored zone", func() bool {
+		book(0)
+		return runsIn("a") > runs
+	})
+}
+
 // editInsurerSection replaces the insurer section on behalf of its team.
 func (f *fleet) editInsurerSection(t *testing.T, text string) operator.EditResult {
 	t.Helper()
--- a/cmd/hawthornhub/agent.go
+++ b/cmd/hawthornhub/agent.go
@@ -97,6 +97,7 @@
 	}
 	p.agent = agent.Start(agent.Config{
 		Name:         s.Name,
+		Zone:         s.Zone,
 		Incarnation:  p.process.Incarnation,
 		StallTimeout: s.Agent.StallTimeout(),
 		System:       p.process.System,
--- a/cmd/hawthornhub/entry.go
+++ b/cmd/hawthornhub/entry.go
@@ -22,7 +22,9 @@
 	"hawthornhub.example/hawthornhub/internal/serve/once"
 	"hawthornhub.example/hawthornhub/internal/serve/pipeline"
 	"hawthornhub.example/hawthornhub/internal/serve/route"
+	"hawthornhub.example/hawthornhub/internal/state/evacuation"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
+	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 )
 
 func entryCommand(app *kingpin.Application) command {
@@ -70,6 +72,10 @@
 		OnDocumentChange: func(d *control.LeasedDocument) {
 			table.Configure(d.Schema.Routing)
 		},
+		OnEvacuations: func(zones *statepb.Evacuations) {
+			table.SetEvacuated(evacuation.Zones(zones))
+			e.health.Metrics().Gauge("zones_evacuated").Update(float64(len(evacuation.Zones(zones))))
+		},
 		OnPong: func(address string, pong *fleetpb.Pong) {
 			table.Report(time.Now(), address, pong.Word)
 		},
--- a/cmd/hawthornhub/inspect.go
+++ b/cmd/hawthornhub/inspect.go
@@ -55,9 +55,16 @@
 }
 
 func statusCommand(app *kingpin.Application) command {
-	clause := app.Command("status", "Print the leader, and each process with the document that it applies.")
-	client := newControlClient(clause)
+	clause := app.Command("status", "Print the leader, each process with the document that it applies, and the evacuated zones. Of registries, print the zones.")
+	client := newOptionalControlClient(clause)
+	registries := registryFlag(clause)
 	return command{clause: clause, run: func() error {
+		if len(*registries) > 0 {
+			return printZones(*registries, *client.jsonOutput)
+		}
+		if err := client.check(); err != nil {
+			return err
+		}
 		var s operator.Status
 		if err := client.do(http.MethodGet, "/v1/status", nil, &s); err != nil || *client.jsonOutput {
 			return err
@@ -69,6 +76,9 @@
 
 func printStatus(s operator.Status) {
 	fmt.Printf("leader %s, document %d\n", s.Leader, s.DocumentIndex)
+	if len(s.Evacuated) > 0 {
+		fmt.Println("evacuated zones:", strings.Join(s.Evacuated, ", "))
+	}
 	for _, p := range s.Processes {
 		fmt.Printf("%-14s %-8s %-14s document %-6d fresh %-5t", p.Name, p.Role, p.Zone, p.Document, p.Fresh)
 		if p.Role == string(settings.RoleControl) {
--- a/cmd/hawthornhub/main.go
+++ b/cmd/hawthornhub/main.go
@@ -8,6 +8,9 @@
 //	hawthornhub config get|edit|history --control ADDRESS --team NAME --key-file FILE
 //	hawthornhub document get|put --control ADDRESS --key-file FILE
 //	hawthornhub status|drain|orders|timeline --control ADDRESS --team NAME --key-file FILE
+//	hawthornhub evacuate|restore ZONE --control ADDRESS --team NAME --key-file FILE
+//	hawthornhub evacuate|restore ZONE --registry ADDRESS
+//	hawthornhub status --registry ADDRESS
 //	hawthornhub explain REQUEST LOG...
 //	hawthornhub version
 //
@@ -64,6 +67,7 @@
 	commands = append(commands, configCommands(app)...)
 	commands = append(commands, statusCommand(app), drainCommand(app), timelineCommand(app))
 	commands = append(commands, orderCommands(app)...)
+	commands = append(commands, evacuationCommands(app)...)
 	commands = append(commands, documentCommands(app)...)
 	commands = append(commands, explainCommand(app), versionCommand(app))
 	selected, err := app.Parse(os.Args[1:])
--- a/cmd/hawthornhub/remote.go
+++ b/cmd/hawthornhub/remote.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -39,6 +40,25 @@
 	}
 }
 
+// newOptionalControlClient is newControlClient for a command that can do without it, see
+// check.
+func newOptionalControlClient(clause *kingpin.CmdClause) controlClient {
+	return controlClient{
+		addresses:  clause.Flag("control", "HTTP address of a control instance as IP:port; may be repeated.").Strings(),
+		team:       clause.Flag("team", "Name of the team that gives the command; needed with --control.").String(),
+		keyFile:    clause.Flag("key-file", "File with the team's key; needed with --control.").ExistingFile(),
+		jsonOutput: clause.Flag("json", "Print the answer as JSON.").Bool(),
+	}
+}
+
+// check returns an error if flags of an optional client are missing.
+func (c controlClient) check() error {
+	if len(*c.addresses) == 0 || *c.team == "" || *c.keyFile == "" {
+		return &exitError{code: exitUsage, err: errors.New("the fleet to command is not named; give --registry, or --control with --team and --key-file")}
+	}
+	return nil
+}
+
 // do tries the control instances in order until one answers with a status other
 // than 503, and decodes the answer into out. With --json it also prints the answer.
 func (c controlClient) do(method, path string, body, out any) error {
@@ -58,12 +78,17 @@
 	return &exitError{code: exitNoAnswer, err: fmt.Errorf("no control instance answered; give another --control: %w", lastErr)}
 }
 
+// send sends a request with a JSON body, or with none if body is nil.
 func (c controlClient) send(method, url string, body any, key string) (int, []byte, error) {
-	b, err := json.Marshal(body)
-	if err != nil {
-		return 0, nil, fmt.Errorf("encode request: %w", err)
+	var content io.Reader
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return 0, nil, fmt.Errorf("encode request: %w", err)
+		}
+		content = bytes.NewReader(b)
 	}
-	req, err := http.NewRequest(method, url, bytes.NewReader(b))
+	req, err := http.NewRequest(method, url, content)
 	if err != nil {
 		return 0, nil, fmt.Errorf("build request: %w", err)
 	}
--- a/internal/api/operator/message.go
+++ b/internal/api/operator/message.go
@@ -106,6 +106,16 @@
 	// Unresponsive are the names of the processes that did not answer.
 	Unresponsive []string                `json:"silent,omitempty"`
 	Counts       []*statepb.ServiceCount `json:"counts,omitempty"`
+	// Evacuated are the evacuated availability zones.
+	Evacuated []string `json:"evacuated,omitempty"`
+}
+
+// Evacuation is the response to POST and DELETE /v1/evacuations/ZONE.
+type Evacuation struct {
+	Zone      string `json:"zone"`
+	Evacuated bool   `json:"evacuated"`
+	// Index is the log index of the last change of any zone.
+	Index uint64 `json:"index"`
 }
 
 // Timeline is the response to GET /v1/timeline.
--- a/internal/api/operator/query.go
+++ b/internal/api/operator/query.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/timeline"
+	"hawthornhub.example/hawthornhub/internal/state/evacuation"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 )
@@ -46,7 +47,7 @@
 }
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request, req request) {
-	out := Status{DocumentIndex: req.state.DocumentIndex, Members: s.cfg.Members(), Counts: req.state.Counts}
+	out := Status{DocumentIndex: req.state.DocumentIndex, Members: s.cfg.Members(), Counts: req.state.Counts, Evacuated: evacuation.Zones(req.state.Evacuations)}
 	out.Unresponsive = s.queryAll(req.ctx, &fleetpb.Envelope{Body: &fleetpb.Envelope_Read{Read: &fleetpb.Read{Status: true}}}, func(e *fleetpb.Envelope) {
 		st := e.GetReadReply().GetStatus()
 		if st == nil {
--- a/internal/api/operator/server.go
+++ b/internal/api/operator/server.go
@@ -16,6 +16,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/control"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/fleet/timeline"
+	"hawthornhub.example/hawthornhub/internal/fleet/watch"
 	"hawthornhub.example/hawthornhub/internal/state/document"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
@@ -55,6 +56,8 @@
 	s.mux.HandleFunc("POST /v1/edits", s.authenticate(s.edit))
 	s.mux.HandleFunc("POST /v1/orders", s.authenticate(s.order))
 	s.mux.HandleFunc("POST /v1/drain", s.authenticate(s.drain))
+	s.mux.HandleFunc("POST /v1/evacuations/{zone}", s.authenticate(s.evacuate))
+	s.mux.HandleFunc("DELETE /v1/evacuations/{zone}", s.authenticate(s.evacuate))
 	return s
 }
 
@@ -67,6 +70,8 @@
 	ctx   context.Context
 	team  string
 	state *fleetpb.ReadReply
+	// arrived is when the request arrived, by watch.BootTime.
+	arrived time.Duration
 }
 
 type handler func(w http.ResponseWriter, r *http.Request, req request)
@@ -75,9 +80,10 @@
 // document in it, before it calls next.
 func (s *Server) authenticate(next handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		arrived := watch.BootTime()
 		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
 		defer cancel()
-		reply, err := s.cfg.Client.Read(ctx, &fleetpb.Read{Document: true, History: true, Orders: true})
+		reply, err := s.cfg.Client.Read(ctx, &fleetpb.Read{Document: true, History: true, Orders: true, Evacuations: true})
 		if err != nil {
 			writeProblem(w, http.StatusServiceUnavailable, Problem{Kind: "unavailable", Detail: err.Error(), Remedy: "try again; check that most control instances run"})
 			return
@@ -87,7 +93,7 @@
 			writeProblem(w, http.StatusUnauthorized, Problem{Kind: "unauthorised", Detail: "the team or its key is wrong", Remedy: "give --team and --key-file"})
 			return
 		}
-		next(w, r, request{ctx: ctx, team: team, state: reply})
+		next(w, r, request{ctx: ctx, team: team, state: reply, arrived: arrived})
 	}
 }
 
--- a/internal/dispatch/agent/actor.go
+++ b/internal/dispatch/agent/actor.go
@@ -232,7 +232,7 @@
 		s.reject(item.ID, c, failure.New(failure.Deadline, failure.RanNo, "the deadline passed in the queue", "send a later deadline or less work"))
 		return
 	}
-	if f := checkDocument(s.agent.cfg.Follower.Document(), c.call); f != nil {
+	if f := s.agent.checkDocument(s.agent.cfg.Follower.Document(), c.call); f != nil {
 		s.reject(item.ID, c, f)
 		return
 	}
--- a/internal/dispatch/agent/agent.go
+++ b/internal/dispatch/agent/agent.go
@@ -31,6 +31,8 @@
 type Config struct {
 	// Name is the agent's instance name, which orders and claims refer to.
 	Name string
+	// Zone is the agent's availability zone.
+	Zone string
 	// Incarnation is different for every start of the process.
 	Incarnation uint64
 	// StallTimeout is the longest time without progress from the upstream; half
--- a/internal/dispatch/agent/call.go
+++ b/internal/dispatch/agent/call.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"hawthornhub.example/hawthornhub/internal/dispatch/upstream"
 	"hawthornhub.example/hawthornhub/internal/fleet/control"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
+	"hawthornhub.example/hawthornhub/internal/state/evacuation"
 	"hawthornhub.example/hawthornhub/internal/state/ledger"
 	"hawthornhub.example/hawthornhub/internal/wire/failure"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
@@ -66,19 +68,26 @@
 		f.Document = doc.Index
 		return f
 	}
-	return checkDocument(doc, call)
+	f := a.checkDocument(doc, call)
+	if f != nil && f.Kind == failure.Leaving {
+		// An entry may have learnt before this process that the zone was restored.
+		a.cfg.Follower.Refresh()
+	}
+	return f
 }
 
 // checkDocument rejects a call while the document is not confirmed or stops the
-// call's service. It runs when the call arrives and again when it leaves the
+// call's service, or the agent's zone is evacuated. It runs when the call arrives and again when it leaves the
 // queue, because in between the call may have waited for a long time or the
 // process may have been frozen.
-func checkDocument(doc *control.LeasedDocument, call *fleetpb.Call) *fleetpb.Failure {
+func (a *Agent) checkDocument(doc *control.LeasedDocument, call *fleetpb.Call) *fleetpb.Failure {
 	switch {
 	case !doc.Fresh(time.Now()):
 		return failure.New(failure.DocumentLapsed, failure.RanNo, "the document is not confirmed", "wait until a quorum of control answers")
 	case doc.Schema.Insurer.Services[call.Kind].Stopped:
 		return failure.New(failure.ServiceStopped, failure.RanNo, "the service is stopped by the insurer's conditions", "wait until it is released")
+	case slices.Contains(evacuation.Zones(doc.Evacuations), a.cfg.Zone):
+		return failure.New(failure.Leaving, failure.RanNo, "the zone of the upstream is evacuated", "use an upstream in another zone")
 	default:
 		return nil
 	}
--- a/internal/fleet/control/follower.go
+++ b/internal/fleet/control/follower.go
@@ -42,6 +42,9 @@
 	Schema   document.Schema
 	// ConfirmedAt is a time no later than the last confirmation by a quorum.
 	ConfirmedAt time.Time
+	// Evacuations are the evacuated availability zones as of the same confirmation, nil if
+	// they are not known.
+	Evacuations *statepb.Evacuations
 }
 
 // Age returns an upper bound of the time since the last confirmation.
@@ -70,7 +73,7 @@
 
 // withSections returns a copy in which the sections of newer replace the older ones.
 func (d *LeasedDocument) withSections(newer *statepb.Document) (*LeasedDocument, error) {
-	next := &LeasedDocument{Index: newer.Index, Sections: make(map[string]*statepb.Section), ConfirmedAt: d.ConfirmedAt}
+	next := &LeasedDocument{Index: newer.Index, Sections: make(map[string]*statepb.Section), ConfirmedAt: d.ConfirmedAt, Evacuations: d.Evacuations}
 	for name, s := range d.Sections {
 		next.Sections[name] = s
 	}
@@ -100,6 +103,17 @@
 	return &next
 }
 
+// withEvacuations returns a copy with the given evacuated zones, or the document itself if
+// they are not newer than its own.
+func (d *LeasedDocument) withEvacuations(e *statepb.Evacuations) *LeasedDocument {
+	if e.GetIndex() <= d.Evacuations.GetIndex() {
+		return d
+	}
+	next := *d
+	next.Evacuations = e
+	return &next
+}
+
 // FollowerConfig configures a Follower.
 type FollowerConfig struct {
 	Pool *link.Pool
@@ -111,7 +125,10 @@
 	// OnChange is called with each new document. It may be nil, and must not call
 	// Update.
 	OnChange func(*LeasedDocument)
-	Log      *zap.Logger
+	// OnEvacuations is called with the evacuated availability zones after each change, in
+	// order. It may be nil, and must not call Update.
+	OnEvacuations func(*statepb.Evacuations)
+	Log           *zap.Logger
 }
 
 // Follower keeps a process's copy of the document up to date. It never replaces
@@ -187,6 +204,20 @@
 	return true
 }
 
+// AwaitEvacuations fetches the evacuated zones of the given log index or newer ones, and
+// reports whether this process acts on them before ctx ends.
+func (f *Follower) AwaitEvacuations(ctx context.Context, index uint64) bool {
+	for f.Document().Evacuations.GetIndex() < index {
+		f.Refresh()
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(awaitPollInterval):
+		}
+	}
+	return true
+}
+
 // Refresh requests a new confirmation at once, without waiting for it.
 func (f *Follower) Refresh() {
 	select {
@@ -272,6 +303,10 @@
 			return err
 		}
 	}
+	next = next.withEvacuations(r.Evacuations)
+	if newer := next.Evacuations; newer.GetIndex() > current.Evacuations.GetIndex() && f.cfg.OnEvacuations != nil {
+		f.cfg.OnEvacuations(newer)
+	}
 	if r.ConfirmedMs >= 0 && next.Index >= r.DocumentIndex && next.Index > 0 {
 		next = next.withConfirmation(sentAt.Add(-time.Duration(r.ConfirmedMs) * time.Millisecond))
 	}
@@ -292,7 +327,7 @@
 // atLeast, and the age of its confirmation rounded up to whole milliseconds, or
 // -1 if it was never confirmed.
 func NewReadReply(d *LeasedDocument, atLeast uint64, now time.Time) *fleetpb.ReadReply {
-	out := &fleetpb.ReadReply{DocumentIndex: d.Index, ConfirmedMs: -1}
+	out := &fleetpb.ReadReply{DocumentIndex: d.Index, ConfirmedMs: -1, Evacuations: d.Evacuations}
 	if !d.ConfirmedAt.IsZero() {
 		out.ConfirmedMs = d.Age(now).Milliseconds() + 1
 	}
--- a/internal/fleet/control/follower_test.go
+++ b/internal/fleet/control/follower_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -117,3 +118,27 @@
 		t.Errorf("wanted index %d, want %d", got, want)
 	}
 }
+
+// Guards against an older state of the evacuated zones that replaces a newer one, against one
+// that is lost with a new document, and against a reply that leaves it out.
+func TestEvacuationsNeverRevert(t *testing.T) {
+	f := newFollower()
+	var seen []uint64
+	f.cfg.OnEvacuations = func(e *statepb.Evacuations) { seen = append(seen, e.Index) }
+	for i, index := range []uint64{3, 2, 7, 0, 5, 7, 9} {
+		reply := readReply(uint64(10+i), 0, routingSection(uint64(10+i), "4"))
+		reply.Evacuations = &statepb.Evacuations{Index: index}
+		if err := f.Update(time.Now(), reply); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, want := fmt.Sprint(seen), "[3 7 9]"; got != want {
+		t.Errorf("evacuated zones of the indexes %s in force one after another, want %s", got, want)
+	}
+	if err := f.Update(time.Now(), readReply(30, 0, routingSection(30, "4"))); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := f.HandleRead(&fleetpb.Read{AtLeast: 30}).Evacuations.GetIndex(), uint64(9); got != want {
+		t.Errorf("a reply has the evacuated zones of index %d, want %d", got, want)
+	}
+}
--- a/internal/fleet/process/process.go
+++ b/internal/fleet/process/process.go
@@ -18,7 +18,9 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/member"
 	"hawthornhub.example/hawthornhub/internal/fleet/timeline"
 	"hawthornhub.example/hawthornhub/internal/operator/settings"
+	"hawthornhub.example/hawthornhub/internal/state/evacuation"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
+	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 )
 
 // Config configures a Process.
@@ -35,6 +37,9 @@
 	FillStatus func(*fleetpb.Status)
 	// OnDocumentChange is called with each new document; nil ignores them.
 	OnDocumentChange func(*control.LeasedDocument)
+	// OnEvacuations is called with the evacuated availability zones after each change; nil
+	// ignores them.
+	OnEvacuations func(*statepb.Evacuations)
 	// OnMembersChange is called with all known processes after each membership
 	// change; nil ignores them.
 	OnMembersChange func([]*fleetpb.Member)
@@ -50,6 +55,10 @@
 	FillMember func(*fleetpb.Member)
 }
 
+// evacuationTimeout bounds the fetch of evacuated zones for a read of the status. It is below
+// the time for which operators' requests wait for a process.
+const evacuationTimeout = 900 * time.Millisecond
+
 // Process is a running process of the fleet.
 type Process struct {
 	cfg         Config
@@ -94,7 +103,9 @@
 			Sources:  p.documentSources,
 			Peers:    ControlAddresses(s),
 			OnChange: p.documentChanged,
-			Log:      cfg.Log,
+
+			OnEvacuations: p.evacuationsChanged,
+			Log:           cfg.Log,
 		})
 	}
 	p.Server, err = link.Listen(link.ServerConfig{
@@ -303,6 +314,15 @@
 	}
 }
 
+func (p *Process) evacuationsChanged(e *statepb.Evacuations) {
+	zones := evacuation.Zones(e)
+	p.Timeline.Add("evacuate", "", fmt.Sprintf("zones %v evacuated at index %d", zones, e.GetIndex()))
+	p.Log.Info("evacuated zones in force", zap.Strings("zones", zones), zap.Uint64("index", e.GetIndex()))
+	if p.cfg.OnEvacuations != nil {
+		p.cfg.OnEvacuations(e)
+	}
+}
+
 // documentSources returns the link addresses of the entries that an agent asks
 // for the document before it asks a control instance: those in its own zone. The
 // start of the list depends on the incarnation, which spreads agents over the
@@ -365,6 +385,11 @@
 	r := first.GetRead()
 	switch {
 	case r.Status:
+		if r.Evacuations && p.Follower != nil {
+			fetchCtx, cancel := context.WithTimeout(ctx, evacuationTimeout)
+			p.Follower.AwaitEvacuations(fetchCtx, r.AtLeast)
+			cancel()
+		}
 		p.reply(st, &fleetpb.Envelope{Body: &fleetpb.Envelope_ReadReply{ReadReply: &fleetpb.ReadReply{Status: p.Status()}}})
 	case r.Document && !r.Linear && p.Follower != nil:
 		p.reply(st, &fleetpb.Envelope{Body: &fleetpb.Envelope_ReadReply{ReadReply: p.Follower.HandleRead(r)}})
@@ -390,6 +415,8 @@
 		Fresh:       document.Fresh(time.Now()),
 		Members:     p.Members(),
 		Incarnation: p.Incarnation,
+
+		EvacuationIndex: document.Evacuations.GetIndex(),
 	}
 	if p.cfg.FillStatus != nil {
 		p.cfg.FillStatus(s)
--- a/internal/fleet/replica/actor.go
+++ b/internal/fleet/replica/actor.go
@@ -493,6 +493,7 @@
 			next.Sections[s.Name] = s
 		}
 	}
+	next.Evacuations = a.machine.Evacuations()
 	next.ConfirmedAt = time.Time{}
 	if state.Role == raft.Leader {
 		next.ConfirmedAt = a.confirmedAt
--- a/internal/serve/once/runner.go
+++ b/internal/serve/once/runner.go
@@ -154,11 +154,11 @@
 }
 
 // waitForUpstream picks an upstream, waiting up to upstreamWait for one to
-// become available.
+// become available. It does not wait if all are in evacuated zones.
 func (r *Runner) waitForUpstream(ctx context.Context, c Call) (route.Upstream, bool) {
 	until := time.Now().Add(min(upstreamWait, time.Until(c.Deadline)))
 	for {
-		if u, ok := r.pick(c, nil); ok || time.Now().After(until) {
+		if u, ok := r.pick(c, nil); ok || time.Now().After(until) || r.cfg.Table.Evacuated(c.Pool) {
 			return u, ok
 		}
 		select {
--- a/internal/serve/pipeline/executor.go
+++ b/internal/serve/pipeline/executor.go
@@ -115,6 +115,9 @@
 	if !ok {
 		return Response{}, refuse.New(refuse.UnknownName, refuse.RanNo, fmt.Sprintf("no pipeline %q", r.Pipeline), "use a pipeline of the document")
 	}
+	if err := x.checkZones(p); err != nil {
+		return Response{}, err
+	}
 	admitted, err := x.admit(current.Schema, p, r)
 	if err != nil {
 		return Response{}, err
@@ -126,6 +129,18 @@
 	return x.runStages(ctx, current.Schema, p, r, admitted)
 }
 
+// checkZones refuses a request at once if all upstreams of a stage are in evacuated zones. A
+// call that runs at most once may have run already, which its stage finds out.
+func (x *Executor) checkZones(p document.Pipeline) error {
+	for _, st := range p.Stages {
+		if !st.Once && x.cfg.Table.Evacuated(poolOf(st)) {
+			x.cfg.Metrics.Counter("refused_evacuated").Inc(1)
+			return refuse.New(refuse.NoUpstream, refuse.RanNo, "every upstream of stage "+st.Kind+" is in an evacuated zone", "try again when a zone is restored").WithRetryAfter(time.Second)
+		}
+	}
+	return nil
+}
+
 // ranIfLapsed returns the Ran value of a refusal for a lapsed document: it is
 // RanUnknown if an earlier request with the same key may have run.
 func ranIfLapsed(current *control.LeasedDocument, r Request) refuse.Ran {
--- a/internal/serve/pipeline/stage.go
+++ b/internal/serve/pipeline/stage.go
@@ -135,6 +135,9 @@
 			s.dispatch(ctx, u, false)
 			return nil
 		}
+		if s.x.cfg.Table.Evacuated(s.pool()) {
+			return s.noUpstream()
+		}
 		select {
 		case <-ctx.Done():
 			return s.noUpstream()
--- a/internal/serve/route/pick.go
+++ b/internal/serve/route/pick.go
@@ -42,7 +42,7 @@
 func (t *Table) eligible(now time.Time, info PickInfo, subset int) []*state {
 	var out, coolingDown []*state
 	for _, s := range t.pools[info.Pool] {
-		if slices.Contains(info.Exclude, s.Name) || s.report != nil && s.report.Leaving {
+		if t.evacuated[s.Zone] || slices.Contains(info.Exclude, s.Name) || s.report != nil && s.report.Leaving {
 			continue
 		}
 		if len(info.Zones) > 0 && !slices.Contains(info.Zones, s.Zone) {
@@ -133,6 +133,9 @@
 	defer t.mu.Unlock()
 	slots := 0.0
 	for _, s := range t.pools[pool] {
+		if t.evacuated[s.Zone] {
+			continue
+		}
 		slots += float64(s.Slots) / max(1, s.slowness(now))
 	}
 	return slots
--- a/internal/serve/route/table.go
+++ b/internal/serve/route/table.go
@@ -148,6 +148,8 @@
 	// roundRobin counts the picks of the baseline policy.
 	roundRobin map[Pool]int
 	nextID     uint64
+	// evacuated holds the evacuated availability zones.
+	evacuated map[string]bool
 	// quantile is the quantile in ratios, which sets the hedging delay.
 	quantile float64
 }
@@ -301,6 +303,29 @@
 	t.quantile = r.HedgeQuantile
 }
 
+// SetEvacuated replaces the evacuated availability zones, whose upstreams are not picked.
+func (t *Table) SetEvacuated(zones []string) {
+	evacuated := make(map[string]bool, len(zones))
+	for _, zone := range zones {
+		evacuated[zone] = true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.evacuated = evacuated
+}
+
+// Evacuated reports whether a pool has upstreams and all of them are in evacuated zones.
+func (t *Table) Evacuated(pool Pool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.pools[pool] {
+		if !t.evacuated[s.Zone] {
+			return false
+		}
+	}
+	return len(t.pools[pool]) > 0
+}
+
 // observe updates the slowness with the service time of a completed call, as a
 // multiple of its expected time.
 func (s *state) observe(now time.Time, ratio float64) {
--- a/internal/serve/route/table_test.go
+++ b/internal/serve/route/table_test.go
@@ -155,3 +155,38 @@
 		}
 	}
 }
+
+// Guards against calls to an evacuated zone, by any policy or affinity, and against capacity
+// that is counted there.
+func TestEvacuatedZoneIsNotPicked(t *testing.T) {
+	table := newTable(6)
+	members := agents(6)
+	for i, m := range members {
+		m.Zone = string(rune('x' + i%3))
+	}
+	table.Update(members)
+	now := time.Now()
+	table.SetEvacuated([]string{"x", "y"})
+	for i := range 200 {
+		info := PickInfo{Pool: pool, Size: 10, Prefix: fmt.Sprint("prefix-", i%7)}
+		for _, r := range []document.Routing{expected, {Policy: "baseline", Candidates: 8, Subset: 1}} {
+			if u, ok := table.Pick(now, info, r); !ok || u.Zone != "z" {
+				t.Fatalf("picked %q in zone %q, want one in zone z", u.Name, u.Zone)
+			}
+		}
+	}
+	if got, want := table.EffectiveSlots(now, pool), 4.0; got != want {
+		t.Errorf("%v slots, want %v", got, want)
+	}
+	if table.Evacuated(pool) {
+		t.Error("the pool counts as evacuated although a zone is left")
+	}
+	table.SetEvacuated([]string{"x", "y", "z"})
+	if u, ok := table.Pick(now, PickInfo{Pool: pool, Size: 10}, expected); ok || !table.Evacuated(pool) {
+		t.Errorf("picked %q although every zone is evacuated", u.Name)
+	}
+	table.SetEvacuated(nil)
+	if _, ok := table.Pick(now, PickInfo{Pool: pool, Size: 10}, expected); !ok {
+		t.Error("nothing is picked after the zones were restored")
+	}
+}
