--- a/internal/fleet/watch/evacuations.go
+++ b/internal/fleet/watch/evacuations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -110,10 +111,17 @@
 	return f.evacuations.inForce
 }
 
+// firstZonesTimeout is how long after its start a process waits for a control instance that
+// is sure of the evacuated zones. After a loss of all power, the control instances know only
+// their last snapshot until they have elected a leader, which takes well below that. Without
+// a quorum there is none, and requests are served all the same.
+const firstZonesTimeout = 10 * time.Second
+
 // evacuationsSettled reports whether this process acts on the newest evacuated zones that a
 // connected control instance offers, and after a gap has heard from one that is sure of
-// them. It does not wait longer than agreementTimeout for such an instance: without a
-// quorum there is none. The caller holds mu.
+// them. It waits for such an instance for firstZonesTimeout after the start, and later for
+// agreementTimeout: what it knows already is then at most as old as its gap. The caller
+// holds mu.
 func (f *Follower) evacuationsSettled(fr *freshness) bool {
 	if f.cfg.OnEvacuations == nil {
 		return true
@@ -123,5 +131,9 @@
 			return false
 		}
 	}
-	return fr.zonesKnown >= fr.behindSince || f.cfg.Now()-fr.behindSince > agreementTimeout
+	limit := agreementTimeout
+	if fr.zonesKnown == 0 {
+		limit = firstZonesTimeout
+	}
+	return fr.zonesKnown >= fr.behindSince || f.cfg.Now()-fr.behindSince > limit
 }
