--- a/internal/fleet/watch/evacuations_test.go
+++ b/internal/fleet/watch/evacuations_test.go
@@ -87,6 +87,8 @@
 	if lacking := behind.hub.WaitEvacuations(context.Background(), 7); len(lacking) > 0 {
 		t.Errorf("not acknowledged by %v, which act on newer ones", lacking)
 	}
+	// A message that was sent before the control instance knew what the entry has.
+	e.Follower.applyEvacuations(evacuationOf(8, "z1"))
 	if index, evacuated := e.evacuated("z1"); index != 9 || evacuated {
 		t.Errorf("the entry acts on index %d, zone evacuated: %t; want 9, false", index, evacuated)
 	}
