--- a/internal/fleet/rendezvous/rendezvous_test.go
+++ b/internal/fleet/rendezvous/rendezvous_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"testing"
 )
 
@@ -36,3 +37,19 @@
 		t.Error("an item was chosen from an empty list")
 	}
 }
+
+// Guards against weights that change with a program version: entries of two versions would
+// then disagree about the owner of a service.
+func TestWeightIsFinalizedFNV(t *testing.T) {
+	for _, tt := range []struct{ key, name string }{{"", ""}, {"scan", "10.1.0.1:7740"}, {"k", "ü\x00"}} {
+		h := fnv.New64a()
+		h.Write([]byte(tt.key + "\x00" + tt.name))
+		want := h.Sum64()
+		want ^= want >> 33
+		want *= 0xff51afd7ed558ccd
+		want ^= want >> 33
+		if got := Weight(tt.key, tt.name); got != want {
+			t.Errorf("key %q, name %q: got %x, want %x", tt.key, tt.name, got, want)
+		}
+	}
+}
