serve/balance, api/gateway, operator/settings: choose by learned capacity

With [capacity] learn = true a gateway chooses the upstream with the least expected time of four drawn at random and of those that have the prefix of the prompt cached, instead of the least load as a share of the slots. A popular prefix is sent elsewhere once the queue costs more than the cache saves. Failures still add to the expected time. Without the setting, the choice is as before.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -26,6 +26,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/watch"
 	"hawthornhub.example/hawthornhub/internal/operator/settings"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
+	"hawthornhub.example/hawthornhub/internal/serve/capacity"
 	"hawthornhub.example/hawthornhub/internal/serve/eligible"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
@@ -64,7 +65,9 @@
 	*siteProcess
 	upstreams *catalog.Table
 	// rules tell which upstreams may be called at the moment.
-	rules       eligible.Rules
+	rules eligible.Rules
+	// capacity is what is learned of the upstreams, nil if that is not enabled.
+	capacity    *capacity.Model
 	balancer    *balance.Balancer
 	breakers    *breaker.Guard
 	transport   *transport.Pool
@@ -98,7 +101,10 @@
 
 func (g *gatewayProcess) start() error {
 	s := g.settings
-	g.balancer = balance.New(balance.Config{Zone: s.Zone, Random: rand.IntN})
+	if s.Capacity.Learn {
+		g.capacity = capacity.NewModel()
+	}
+	g.balancer = balance.New(balance.Config{Zone: s.Zone, Random: rand.IntN, Model: g.capacity})
 	g.breakers = breaker.NewGuard(breaker.GuardConfig{Report: g.reportPrompts, Rank: g.trialRank, Log: g.log})
 	g.upstreams = catalog.New(catalog.Config{OnChange: g.onUpstreamChange})
 	g.transport = transport.NewPool(transport.Config{Classify: platform.Classify, Permit: g.permitSend, Log: g.log})
@@ -391,6 +397,7 @@
 	if x := g.server.Index(); x != nil {
 		scope.Gauge("document_version").Update(float64(x.Version))
 	}
+	g.reportCapacity(scope)
 	counts := make(map[catalog.State]int)
 	for _, u := range g.upstreams.All() {
 		counts[u.State]++
--- a/internal/api/gateway/prompt.go
+++ b/internal/api/gateway/prompt.go
@@ -62,6 +62,7 @@
 func (q *request) recordEvent() {
 	if q.begunAt.IsZero() {
 		q.begunAt = time.Now()
+		q.server.cfg.Balancer.Begun(q.begunAt, q.choice)
 	}
 	if time.Since(q.begunAt) >= begunAfter {
 		q.reportBegun()
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -54,6 +54,8 @@
 	// upstream is that of the latest attempt, sentAt when the attempt began.
 	upstream catalog.Upstream
 	sentAt   time.Time
+	// choice is how the balancer chose it.
+	choice balance.Choice
 	// begunAt is when the first event or byte of its response arrived, zero before.
 	begunAt time.Time
 	// begunReported is set once the breakers know of that.
@@ -151,11 +153,12 @@
 		if f := q.checkPrompt(); f != nil {
 			return nil, f
 		}
-		u, wait, ok := q.pickUpstream()
+		choice, wait, ok := q.pickUpstream()
 		if !ok {
 			return nil, orElse(last, unavailable("no upstream of the service may be called now", retryAfterWait(wait)))
 		}
-		response, f, retry := q.attempt(ctx, u)
+		q.choice = choice
+		response, f, retry := q.attempt(ctx, choice.Upstream)
 		if response != nil {
 			return response, nil
 		}
@@ -212,15 +215,26 @@
 
 // pickUpstream chooses the upstream of the next attempt. If there is none, wait is the
 // time after which one may be called again, 0 if none is expected.
-func (q *request) pickUpstream() (u catalog.Upstream, wait time.Duration, ok bool) {
+func (q *request) pickUpstream() (c balance.Choice, wait time.Duration, ok bool) {
+	now := time.Now()
+	callable, wait := q.server.cfg.Rules.Filter(now, q.server.cfg.Upstreams(q.service.Name))
+	c, ok = q.server.cfg.Balancer.Choose(now, q.pickInfo(), callable)
+	return c, wait, ok
+}
+
+// pickInfo describes the request to the balancer.
+func (q *request) pickInfo() balance.PickInfo {
 	info := balance.PickInfo{Exclude: q.tried, Prefix: q.sharedPrefix()}
 	if len(q.route.Stages) > 0 {
 		info.Zone = q.stageZone()
+		info.InputBytes = q.finalResultBytes()
 	}
-	now := time.Now()
-	callable, wait := q.server.cfg.Rules.Filter(now, q.server.cfg.Upstreams(q.service.Name))
-	u, ok = q.server.cfg.Balancer.Pick(now, info, callable)
-	return u, wait, ok
+	if q.service.Engine != nil {
+		for _, s := range q.Prompt {
+			info.Prompt = append(info.Prompt, balance.Segment{ID: s.ID, Tokens: s.Tokens})
+		}
+	}
+	return info
 }
 
 // retryAfterWait returns the Retry-After of a request that no upstream may be sent for
@@ -260,7 +274,10 @@
 	case *transport.Answered:
 		return q.handleResponse(now, u, o)
 	case transport.Rejected:
-		s.cfg.Balancer.Done(now, u.ID, balance.DoneInfo{Full: true, Report: o.Reply.Load})
+		s.cfg.Balancer.End(now, q.choice, balance.DoneInfo{
+			Full: true, Report: o.Reply.Load,
+			CapacityUnknown: o.Status != http.StatusServiceUnavailable && o.Status != http.StatusTooManyRequests,
+		})
 		f = unavailable(fmt.Sprintf("the upstream did not take the request: status %d", o.Status), defaultRetryAfter)
 		if f.inputsExpired = o.Status == http.StatusConflict && len(q.stages) > 0; f.inputsExpired {
 			return nil, f, false
@@ -268,7 +285,7 @@
 		return nil, f, q.allowRetry(u, "rejected by the upstream", nil)
 	case transport.NotSent:
 		q.attempts--
-		s.cfg.Balancer.Done(now, u.ID, balance.DoneInfo{Unreachable: !o.Local})
+		s.cfg.Balancer.End(now, q.choice, balance.DoneInfo{Unreachable: !o.Local})
 		q.logAttempt("could not send request to upstream", u, o.Err)
 		if ctx.Err() != nil {
 			return nil, q.contextFailure(nil), false
@@ -278,7 +295,7 @@
 		}
 		return nil, unavailable("the upstream could not be reached", defaultRetryAfter), true
 	case transport.Unknown:
-		s.cfg.Balancer.Done(now, u.ID, balance.DoneInfo{Failed: ctx.Err() == nil})
+		s.cfg.Balancer.End(now, q.choice, balance.DoneInfo{Failed: ctx.Err() == nil, GaveUp: ctx.Err() != nil})
 		q.mayHaveRun = true
 		q.recordBreak(ctx, o.Err)
 		f = badGateway("the upstream's answer was lost", o.Err)
@@ -298,7 +315,7 @@
 	failed := o.Status >= http.StatusInternalServerError
 	if failed && q.idempotent() && q.allowRetry(u, fmt.Sprintf("status %d", o.Status), nil) {
 		o.Close()
-		q.server.cfg.Balancer.Done(now, u.ID, balance.DoneInfo{Failed: true, Report: o.Reply.Load})
+		q.server.cfg.Balancer.End(now, q.choice, balance.DoneInfo{Failed: true, Report: o.Reply.Load})
 		return nil, badGateway(fmt.Sprintf("the upstream failed: status %d", o.Status), nil), true
 	}
 	if o.Reply.Load != nil {
--- a/internal/api/gateway/response.go
+++ b/internal/api/gateway/response.go
@@ -65,7 +65,10 @@
 	}
 	if !more {
 		a.Close()
-		q.server.cfg.Balancer.Done(time.Now(), q.upstream.ID, balance.DoneInfo{Failed: err != nil && ctx.Err() == nil || a.Status >= http.StatusInternalServerError})
+		if err == nil && a.Status < http.StatusMultipleChoices {
+			q.server.cfg.Balancer.Begun(time.Now(), q.choice)
+		}
+		q.server.cfg.Balancer.End(time.Now(), q.choice, balance.DoneInfo{Failed: err != nil && ctx.Err() == nil || a.Status >= http.StatusInternalServerError})
 	}
 	if err != nil {
 		q.recordBreak(ctx, err)
@@ -116,7 +119,7 @@
 		written += n
 	}
 	a.Close()
-	q.server.cfg.Balancer.Done(time.Now(), q.upstream.ID, balance.DoneInfo{Failed: err != nil && q.http.Context().Err() == nil})
+	q.server.cfg.Balancer.End(time.Now(), q.choice, balance.DoneInfo{Failed: err != nil && q.http.Context().Err() == nil})
 	if err != nil {
 		q.abort("answer cut", written, err)
 	}
--- a/internal/api/gateway/stages.go
+++ b/internal/api/gateway/stages.go
@@ -342,6 +342,14 @@
 	return out
 }
 
+// finalResultBytes is the total size of the results that the engine fetches.
+func (q *request) finalResultBytes() int64 {
+	if len(q.stages) == 0 {
+		return 0
+	}
+	return q.inputBytes(finalStages(q.route.Stages))
+}
+
 // finalResults returns the handles of the results that the engine fetches.
 func (q *request) finalResults() []string {
 	if len(q.stages) == 0 {
--- a/internal/api/gateway/stream.go
+++ b/internal/api/gateway/stream.go
@@ -93,7 +93,7 @@
 	for {
 		err := s.copyEvents(a)
 		a.Close()
-		q.server.cfg.Balancer.Done(time.Now(), q.upstream.ID, balance.DoneInfo{Failed: err != nil && ctx.Err() == nil})
+		q.server.cfg.Balancer.End(time.Now(), q.choice, balance.DoneInfo{Failed: err != nil && ctx.Err() == nil, GaveUp: err != nil && ctx.Err() != nil})
 		if err == nil {
 			q.recordAnswered(a.Status, s.written)
 			return
@@ -197,7 +197,7 @@
 	}
 	if next.Status != http.StatusOK {
 		next.Close()
-		s.server.cfg.Balancer.Done(time.Now(), s.upstream.ID, balance.DoneInfo{Failed: true})
+		s.server.cfg.Balancer.End(time.Now(), s.choice, balance.DoneInfo{Failed: true})
 		return nil, f
 	}
 	return next, nil
--- a/internal/operator/settings/site.go
+++ b/internal/operator/settings/site.go
@@ -29,10 +29,19 @@
 	ControlPort int `toml:"control_port"`
 	// MemoryMB is the memory of the instance in MiB, from which the process
 	// derives its memory limit; 0 sets no limit.
-	MemoryMB int         `toml:"memory_mb"`
-	Replica  SiteReplica `toml:"replica"`
-	Stop     SiteStop    `toml:"stop"`
-	Retry    SiteRetry   `toml:"retry"`
+	MemoryMB int          `toml:"memory_mb"`
+	Replica  SiteReplica  `toml:"replica"`
+	Stop     SiteStop     `toml:"stop"`
+	Retry    SiteRetry    `toml:"retry"`
+	Capacity SiteCapacity `toml:"capacity"`
+}
+
+// SiteCapacity configures how a gateway judges the capacity of upstreams.
+type SiteCapacity struct {
+	// Learn chooses upstreams by the capacity learned from their answers instead of by
+	// their slots. The gateways of a fleet should all have the same value, because they
+	// share what they learn.
+	Learn bool `toml:"learn"`
 }
 
 // SiteListen holds the addresses on which the process listens, each as IP:port.
--- a/internal/operator/settings/site_test.go
+++ b/internal/operator/settings/site_test.go
@@ -47,3 +47,19 @@
 		t.Errorf("unknown field: got %v, want one violation that names line 1", violations)
 	}
 }
+
+// Guards against gateways that learn without being told to, and against a value that is
+// neither true nor false being taken for one of them.
+func TestCapacityIsLearnedOnlyIfEnabled(t *testing.T) {
+	for text, want := range map[string]bool{"": false, "[capacity]\n": false, "[capacity]\nlearn = false\n": false, "[capacity]\nlearn = true\n": true} {
+		s, _ := DecodeSite([]byte(text), RoleGateway)
+		if got := s.Capacity.Learn; got != want {
+			t.Errorf("%q: got %t, want %t", text, got, want)
+		}
+	}
+	for _, text := range []string{"[capacity]\nlearn = 1\n", "[capacity]\nlearning = true\n"} {
+		if _, violations := DecodeSite([]byte(text), RoleGateway); len(violations) != 1 || !strings.Contains(violations[0], "line 2") {
+			t.Errorf("%q: got %v, want one violation that names line 2", text, violations)
+		}
+	}
+}
--- a/internal/serve/balance/balancer.go
+++ b/internal/serve/balance/balancer.go
@@ -7,6 +7,7 @@
 
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/fleet/rendezvous"
+	"hawthornhub.example/hawthornhub/internal/serve/capacity"
 )
 
 const (
@@ -44,6 +45,9 @@
 	Zone string
 	// Random returns a number in [0, n).
 	Random func(n int) int
+	// Model holds the learned capacity of the upstreams, by which they are chosen; nil
+	// chooses by their slots.
+	Model *capacity.Model
 }
 
 // PickInfo describes the request that an upstream is chosen for.
@@ -55,6 +59,17 @@
 	// Zone is the availability zone that holds the inputs of the request; empty
 	// for no preference.
 	Zone string
+	// InputBytes is the size of these inputs.
+	InputBytes int64
+	// Prompt lists the segments of the prompt in order, empty if there is none. Upstreams
+	// cache prompts by prefix only if Prefix is set.
+	Prompt []Segment
+}
+
+// Segment is a part of a prompt.
+type Segment struct {
+	ID     string
+	Tokens int
 }
 
 // DoneInfo describes how a call ended.
@@ -65,6 +80,11 @@
 	Unreachable bool
 	// Full is set if the upstream rejected the request for lack of capacity.
 	Full bool
+	// CapacityUnknown is set if the rejection does not say that capacity was lacking. Such
+	// a one teaches the model nothing.
+	CapacityUnknown bool
+	// GaveUp is set if the caller or the deadline ended the call.
+	GaveUp bool
 	// Report is the load that the upstream reported; nil for none.
 	Report *Report
 }
@@ -87,6 +107,7 @@
 	failureRateAt time.Time
 	// cooldownEnds is the time until which the upstream is avoided.
 	cooldownEnds time.Time
+	learned      learnedState
 }
 
 // Balancer tracks the calls in flight, the failures and the reported load of
@@ -95,6 +116,10 @@
 	cfg    Config
 	mu     sync.Mutex
 	states map[string]*state
+	// prefixes are those of the prompts that were sent.
+	prefixes prefixMemory
+	// nextCall is the number of the next Choice.
+	nextCall uint64
 }
 
 // New returns a Balancer without any observations.
@@ -112,15 +137,18 @@
 // Pick chooses one of the candidates and counts a call to it as in flight. It
 // returns false if all candidates are excluded.
 func (b *Balancer) Pick(now time.Time, info PickInfo, candidates []catalog.Upstream) (catalog.Upstream, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	c, ok := b.Choose(now, info, candidates)
+	return c.Upstream, ok
+}
+
+// chooseBySlots returns the upstream with the lowest load as a share of its slots, false
+// if all candidates are excluded.
+func (b *Balancer) chooseBySlots(now time.Time, info PickInfo, candidates []catalog.Upstream) (catalog.Upstream, bool) {
 	eligible := b.eligible(now, info, candidates)
 	if len(eligible) == 0 {
 		return catalog.Upstream{}, false
 	}
-	best := b.best(now, info, eligible)
-	b.state(best.ID).inFlight++
-	return best, true
+	return b.best(now, info, eligible), true
 }
 
 // eligible returns the available candidates that aren't excluded. If there are
@@ -229,6 +257,9 @@
 		rate += failureWeight
 	}
 	s.failureRate, s.failureRateAt = rate, now
+	if b.cfg.Model != nil {
+		b.learnEnd(now, id, s, e)
+	}
 	switch {
 	case e.Unreachable:
 		s.cooldownEnds = now.Add(unreachableCooldown)
@@ -236,7 +267,7 @@
 		s.cooldownEnds = now.Add(fullCooldown)
 	}
 	if e.Report != nil {
-		s.report, s.reportedAt = *e.Report, now
+		s.setReport(now, *e.Report)
 	}
 }
 
@@ -244,7 +275,12 @@
 func (b *Balancer) Report(now time.Time, id string, r Report) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(id)
+	b.state(id).setReport(now, r)
+}
+
+// setReport records a report of the upstream.
+func (s *state) setReport(now time.Time, r Report) {
+	s.learned.setReport(now, r, s.inFlight)
 	s.report, s.reportedAt = r, now
 }
 
@@ -252,6 +288,9 @@
 func (b *Balancer) Forget(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if s := b.states[id]; s != nil && b.cfg.Model != nil {
+		b.cfg.Model.Forget(s.learned.service, id)
+	}
 	delete(b.states, id)
 }
 
--- a/internal/serve/balance/balancer_test.go
+++ b/internal/serve/balance/balancer_test.go
@@ -14,7 +14,7 @@
 func upstreams(n int) []catalog.Upstream {
 	var out []catalog.Upstream
 	for i := range n {
-		out = append(out, catalog.Upstream{ID: fmt.Sprint("u", i), Zone: fmt.Sprint("z", i%3), Slots: 4, State: catalog.Ready, LastSeen: t0})
+		out = append(out, catalog.Upstream{ID: fmt.Sprint("u", i), Service: "s", Zone: fmt.Sprint("z", i%3), Slots: 4, State: catalog.Ready, LastSeen: t0})
 	}
 	return out
 }
