dispatch/batcher, api/gateway: durations and waits by the learned capacity

With learned capacity, the batcher takes the factor of each upstream and the expected duration of calls from the model instead of a moving average over the configured duration, which stays for gateways that do not learn. The time to the first event and the times of stages in the gateway's admission are learned; where inputs are released, the default of 70 ms grows with the learned time of the stage. A request that the only upstreams left are expected to refuse waits for room within its objective, in place of a try that is refused at once.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -105,8 +105,9 @@
 
 func (g *gatewayProcess) start() error {
 	s := g.settings
+	var stageTimes *capacity.Model
 	if s.Capacity.Learn {
-		g.capacity = capacity.NewModel()
+		g.capacity, stageTimes = capacity.NewModel(), capacity.NewModel()
 	}
 	g.balancer = balance.New(balance.Config{Zone: s.Zone, Random: rand.IntN, Model: g.capacity})
 	g.breakers = breaker.NewGuard(breaker.GuardConfig{Report: g.reportPrompts, Rank: g.trialRank, Log: g.log})
@@ -118,6 +119,7 @@
 		Upstreams: g.upstreams.Ready,
 		Rules:     g.rules,
 		Service:   g.findService,
+		Model:     g.capacity,
 		Log:       g.log,
 	})
 	g.batchRouter = batcher.NewRouter(batcher.RouterConfig{Owner: g.batchOwner, Pool: g.pool, Self: s.Listen.Link, Owners: g.batchOwnerAddresses, Log: g.log})
@@ -134,6 +136,7 @@
 		ResultZone:     g.resultZone,
 		Breakers:       g.breakers,
 		Balancer:       g.balancer,
+		StageTimes:     stageTimes,
 		EntryCount:     g.entryCount,
 		Retry:          gateway.RetryBudget{Ratio: s.Retry.Ratio, Burst: s.Retry.Burst},
 		Zone:           s.Zone,
--- a/internal/api/gateway/admission.go
+++ b/internal/api/gateway/admission.go
@@ -83,7 +83,7 @@
 			longest = p
 		}
 	}
-	longest.work += firstEventTime
+	longest.work += q.firstEventTime()
 	return longest
 }
 
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -56,6 +56,9 @@
 	sentAt   time.Time
 	// choice is how the balancer chose it.
 	choice balance.Choice
+	// expected caches the result of firstEventTime as of expectedAt.
+	expected   time.Duration
+	expectedAt time.Time
 	// begunAt is when the first event or byte of its response arrived, zero before.
 	begunAt time.Time
 	// begunReported is set once the breakers know of that.
@@ -157,6 +160,9 @@
 		if !ok {
 			return nil, orElse(last, unavailable("no upstream of the service may be called now", retryAfterWait(wait)))
 		}
+		if choice, ok = q.awaitRoom(ctx, choice); !ok {
+			continue
+		}
 		q.choice = choice
 		response, f, retry := q.attempt(ctx, choice.Upstream)
 		if response != nil {
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -19,6 +19,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
 	"hawthornhub.example/hawthornhub/internal/serve/budget"
+	"hawthornhub.example/hawthornhub/internal/serve/capacity"
 	"hawthornhub.example/hawthornhub/internal/serve/eligible"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
@@ -61,6 +62,9 @@
 	Breakers *breaker.Guard
 	// Balancer chooses the upstream of each attempt.
 	Balancer *balance.Balancer
+	// StageTimes holds the learned times of stages from their dispatch to their results, by
+	// service; nil uses the configured durations of calls.
+	StageTimes *capacity.Model
 	// EntryCount returns the number of live entries, the processes that accept
 	// requests from callers. It is at least 1.
 	EntryCount func() int
--- a/internal/api/gateway/stages.go
+++ b/internal/api/gateway/stages.go
@@ -10,17 +10,10 @@
 
 	"hawthornhub.example/hawthornhub/internal/dispatch/batcher"
 	"hawthornhub.example/hawthornhub/internal/operator/logs"
-	"hawthornhub.example/hawthornhub/internal/serve/batching"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
 const (
-	// firstEventTime is the expected time from sending a request to an engine
-	// until its first event.
-	firstEventTime = 150 * time.Millisecond
-	// inputFetchTime is the time after which an idle upstream has fetched the
-	// inputs of a call.
-	inputFetchTime = 70 * time.Millisecond
 	// maxReruns is how often stages of a request are run again after their
 	// results have expired.
 	maxReruns = 2
@@ -180,8 +173,9 @@
 		return job, true
 	}
 	job.Zone = r.majorityZone(job.Inputs)
+	fetched := r.inputFetchTime(i)
 	job.OnDispatched = func() {
-		time.AfterFunc(inputFetchTime, func() { r.events <- stageEvent{stage: i} })
+		time.AfterFunc(fetched, func() { r.events <- stageEvent{stage: i} })
 	}
 	return job, true
 }
@@ -217,14 +211,18 @@
 // timeAfter is the expected time from the end of a stage to the first event of
 // the response.
 func (q *request) timeAfter(stage int) time.Duration {
+	return q.stagesAfter(stage) + q.firstEventTime()
+}
+
+// stagesAfter is the expected time of the stages that depend on a stage.
+func (q *request) stagesAfter(stage int) time.Duration {
 	longest := time.Duration(0)
 	for i := stage + 1; i < len(q.route.Stages); i++ {
-		if !slices.Contains(q.route.Stages[i].DependsOn, stage) {
-			continue
+		if slices.Contains(q.route.Stages[i].DependsOn, stage) {
+			longest = max(longest, q.expectedTime(i)+q.stagesAfter(i))
 		}
-		longest = max(longest, q.expectedTime(i)+q.timeAfter(i)-firstEventTime)
 	}
-	return longest + firstEventTime
+	return longest
 }
 
 // objectiveLeft is the time until the response misses its latency objective. A
@@ -249,16 +247,6 @@
 	return wait + callTime
 }
 
-// expectedCallTime is the expected time of the calls of a stage, 0 if it has no
-// pieces.
-func (q *request) expectedCallTime(stage int) time.Duration {
-	s, ok := q.index.Service(q.route.Stages[stage].Service)
-	if !ok || s.Batching == nil || q.pieceCount(stage) == 0 {
-		return 0
-	}
-	return batching.ConfigOf(s.Batching).TypicalDuration()
-}
-
 // handle updates the state of a stage after an event.
 func (r *stageRun) handle(e stageEvent) *failure {
 	if e.result == nil {
@@ -296,6 +284,7 @@
 	if len(result.Handles) == 0 {
 		return
 	}
+	r.learnStage(s.service, e.took, len(result.Handles), result)
 	r.server.cfg.Log.Info("stage made", r.fields(
 		zap.Int("stage", e.stage), zap.String("service", s.service), zap.Int("pieces", len(result.Handles)), zap.Duration("took", e.took),
 		zap.Duration("queued", result.Queued), zap.Int("calls", result.Calls), zap.Duration("backlog", result.Backlog.For(r.rank)), zap.Duration("backlog_last", result.Backlog.Total))...)
--- a/internal/dispatch/batcher/call.go
+++ b/internal/dispatch/batcher/call.go
@@ -40,7 +40,7 @@
 	start := time.Now()
 	d.mu.Lock()
 	expected := d.queue.Duration(len(batch))
-	factor := max(1, d.upstream(u.ID).slowness.factor(start))
+	factor := max(1, d.factor(start, u.ID))
 	d.mu.Unlock()
 	timeout := time.Duration(callTimeoutFactor*factor*float64(expected)) + callTimeoutMargin
 	ctx, cancel := context.WithTimeout(d.owner.ctx, timeout)
@@ -49,9 +49,12 @@
 	took := time.Since(start)
 	d.mu.Lock()
 	if ctx.Err() != nil {
-		d.upstream(u.ID).slowness.observeTimeout(time.Now(), float64(took)/float64(expected))
+		d.observeTimeout(time.Now(), u.ID, len(batch), took, expected)
 	}
-	released := d.finishCall(u, batch, outputs, err, float64(took)/float64(expected))
+	if err == nil {
+		d.observeCall(time.Now(), u.ID, outputs, took, expected)
+	}
+	released := d.finishCall(u, batch, outputs, err)
 	d.mu.Unlock()
 	d.owner.release(d.shard, released)
 }
@@ -123,9 +126,8 @@
 }
 
 // finishCall records the end of a call, dispatches the next ones and returns the
-// results that no job waits for any more. durationRatio is the ratio of the
-// call's actual to its expected duration. The caller holds mu.
-func (d *dispatcher) finishCall(u catalog.Upstream, batch []batching.Piece, outputs []Output, failed *callError, durationRatio float64) []string {
+// results that no job waits for any more. The caller holds mu.
+func (d *dispatcher) finishCall(u catalog.Upstream, batch []batching.Piece, outputs []Output, failed *callError) []string {
 	now := time.Now()
 	s := d.upstream(u.ID)
 	s.inFlight--
@@ -139,7 +141,6 @@
 	if failed != nil {
 		d.recordFailure(now, u, s, batch, failed)
 	} else {
-		s.slowness.observe(now, durationRatio)
 		unneeded = d.recordOutputs(now, s, batch, outputs)
 	}
 	d.dispatch(now)
--- a/internal/dispatch/batcher/owner.go
+++ b/internal/dispatch/batcher/owner.go
@@ -13,6 +13,7 @@
 	"hawthornhub.example/hawthornhub/internal/dispatch/transport"
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/serve/batching"
+	"hawthornhub.example/hawthornhub/internal/serve/capacity"
 	"hawthornhub.example/hawthornhub/internal/serve/eligible"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
@@ -43,7 +44,10 @@
 	Rules eligible.Rules
 	// Service returns the configuration of a service.
 	Service func(name string) (*site.Service, bool)
-	Log     *zap.Logger
+	// Model holds the learned duration of calls; nil expects the configured duration, and
+	// averages the slowness of each upstream.
+	Model *capacity.Model
+	Log   *zap.Logger
 }
 
 // Owner runs the jobs of the services that this process owns. It is safe for
@@ -60,10 +64,12 @@
 // dispatcher holds the queue and the upstreams of one shard, and dispatches
 // queued pieces in batches.
 type dispatcher struct {
-	owner     *Owner
-	shard     shard
-	mu        sync.Mutex
-	queue     *batching.Queue
+	owner *Owner
+	shard shard
+	mu    sync.Mutex
+	queue *batching.Queue
+	// cfg is the configuration of queue.
+	cfg       batching.Config
 	waiters   map[*batching.Job]*waiter
 	upstreams map[string]*upstreamState
 	timer     *time.Timer
@@ -90,7 +96,11 @@
 	inFlight     int
 	memory       resultMemory
 	backoffUntil time.Time
-	slowness     slowness
+	// slowness is used if the owner has no model.
+	slowness slowness
+	// learned is the factor of the model as of learnedAt.
+	learned   float64
+	learnedAt time.Time
 	// handles detects duplicate answers.
 	handles handleHistory
 }
@@ -109,7 +119,7 @@
 	if !ok || config.Batching == nil {
 		return nil, false
 	}
-	cfg := batching.ConfigOf(config.Batching)
+	cfg := o.scaled(time.Now(), s.service, batching.ConfigOf(config.Batching))
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	d := o.dispatchers[s]
@@ -125,6 +135,7 @@
 	}
 	d.mu.Lock()
 	d.queue.Configure(cfg)
+	d.cfg = cfg
 	d.resultMemoryBytes = config.Batching.ResultMemoryBytes
 	d.resultTTL = config.Batching.ResultTTL
 	d.mu.Unlock()
@@ -229,7 +240,7 @@
 func (d *dispatcher) minSlowness(now time.Time, upstreams []catalog.Upstream) float64 {
 	lowest := math.Inf(1)
 	for _, u := range upstreams {
-		lowest = min(lowest, d.upstream(u.ID).slowness.factor(now))
+		lowest = min(lowest, d.factor(now, u.ID))
 	}
 	return lowest
 }
@@ -239,7 +250,7 @@
 func (d *dispatcher) capacity(now time.Time) float64 {
 	sum := 0.0
 	for _, u := range d.usable(now) {
-		sum += 1 / d.upstream(u.ID).slowness.factor(now)
+		sum += 1 / d.factor(now, u.ID)
 	}
 	return sum
 }
@@ -271,16 +282,18 @@
 	// Upstreams whose slowness falls into the same step of 1/8 are called in random
 	// order.
 	rand.Shuffle(len(idle), func(i, j int) { idle[i], idle[j] = idle[j], idle[i] })
-	slices.SortStableFunc(idle, func(a, b catalog.Upstream) int {
-		return int(8*d.upstream(a.ID).slowness.factor(now)) - int(8*d.upstream(b.ID).slowness.factor(now))
-	})
+	steps := make(map[string]int, len(idle))
+	for _, u := range idle {
+		steps[u.ID] = int(8 * d.factor(now, u.ID))
+	}
+	slices.SortStableFunc(idle, func(a, b catalog.Upstream) int { return steps[a.ID] - steps[b.ID] })
 	for i, u := range idle {
 		s := d.upstream(u.ID)
 		batch := d.queue.NextBatch(now, batching.Upstream{
 			IdleCount: len(idle) - i,
 			FreeBytes: s.memory.available(now, d.resultMemoryBytes),
 			Zone:      u.Zone,
-			Slowness:  s.slowness.factor(now) / lowest,
+			Slowness:  d.factor(now, u.ID) / lowest,
 		})
 		if len(batch) == 0 {
 			continue
--- a/internal/serve/balance/learned.go
+++ b/internal/serve/balance/learned.go
@@ -318,6 +318,15 @@
 	return capacity.Query{Service: u.Service, Upstream: u.ID, Work: work, Load: load, Slots: float64(slots)}
 }
 
+// Cancel undoes a choice whose call was not made.
+func (b *Balancer) Cancel(c Choice) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(c.ID)
+	s.inFlight = max(0, s.inFlight-1)
+	s.learned.removeWaiting(c.call)
+}
+
 // Begun records that the first event or the answer of a call has arrived.
 func (b *Balancer) Begun(now time.Time, c Choice) { b.observe(now, c, true, false) }
 
--- a/internal/serve/capacity/model.go
+++ b/internal/serve/capacity/model.go
@@ -240,6 +240,9 @@
 	}
 	if len(values) > 0 {
 		s.median = median(values)
+	} else {
+		// Nothing is observed any more: the line is the better guess after a while.
+		s.median *= decayed(1, now.Sub(s.medianAt))
 	}
 	s.medianAt = now
 	return s.median
