serve/capacity, serve/balance, platform: pooled paces cause no herds

Pooled paces now weigh less than own ones, own evidence weighs by the age of its windows, and small differences are not shared. A decision looks at a bounded number of upstreams when all are full, and keeps the home of a prefix for a quarter of a second.

--- a/internal/fleet/pooling/exchange.go
+++ b/internal/fleet/pooling/exchange.go
@@ -188,7 +188,7 @@
 	address := x.poolingEntry(now, r.service)
 	if address != r.address {
 		r.close()
-		x.cfg.Log.Info("observations of a service are pooled by another entry", zap.String("service", r.service), zap.String("entry", address))
+		x.cfg.Log.Info("observations of a service are pooled at an entry", zap.String("service", r.service), zap.String("entry", address))
 		r.address = address
 	}
 	records := x.cfg.Model.Report(now, r.service, capacity.MaxReportRecords)
--- a/internal/serve/balance/learned.go
+++ b/internal/serve/balance/learned.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
-	"hawthornhub.example/hawthornhub/internal/fleet/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/serve/capacity"
 )
 
@@ -17,6 +16,9 @@
 	draws = 4
 	// maxDraws bounds the random draws in search of eligible upstreams.
 	maxDraws = 4 * draws
+	// maxScanned bounds the upstreams that are looked at if those drawn are unavailable or
+	// full, to bound the time of the decision.
+	maxScanned = 12
 	// failureFactor is the multiple of the expected time that is added at a failure rate of
 	// 1.
 	failureFactor = 8
@@ -211,28 +213,49 @@
 	}
 	b.draw(now, info, candidates, func(u *catalog.Upstream) { consider(u, false) })
 	if info.Prefix != "" {
-		holders := p.longestHeld()
+		holders, homeID := p.longestHeld(), b.prefixes.home(now, info.Prefix, candidates)
 		for i := range candidates {
-			if heldBy(holders, candidates[i].ID) && b.usable(now, info, &candidates[i]) {
-				consider(&candidates[i], false)
+			u := &candidates[i]
+			isHome := u.ID == homeID
+			if (isHome || heldBy(holders, u.ID)) && b.usable(now, info, u) {
+				consider(u, isHome)
 			}
 		}
-		if home := homeOf(info.Prefix, candidates); b.usable(now, info, home) {
-			consider(home, true)
-		}
 	}
 	if best.upstream != nil && !best.prediction.Full {
 		return best, true
 	}
-	// What was drawn is unavailable or full: consider all.
-	for i := range candidates {
-		if u := &candidates[i]; !slices.Contains(info.Exclude, u.ID) {
+	// What was drawn is unavailable or full: look at more, first at those that are usable.
+	b.scan(candidates, func(u *catalog.Upstream) bool {
+		usable := b.usable(now, info, u)
+		if usable {
 			consider(u, false)
 		}
+		return usable
+	})
+	if best.upstream == nil {
+		b.scan(candidates, func(u *catalog.Upstream) bool {
+			excluded := slices.Contains(info.Exclude, u.ID)
+			if !excluded {
+				consider(u, false)
+			}
+			return !excluded
+		})
 	}
 	return best, best.upstream != nil
 }
 
+// scan calls look with the candidates from a random one on, until look has returned true
+// maxScanned times.
+func (b *Balancer) scan(candidates []catalog.Upstream, look func(u *catalog.Upstream) bool) {
+	first, found := b.cfg.Random(len(candidates)), 0
+	for i := 0; i < len(candidates) && found < maxScanned; i++ {
+		if look(&candidates[(first+i)%len(candidates)]) {
+			found++
+		}
+	}
+}
+
 // draw calls consider with some of the usable candidates at random, or with all of them if
 // there are few. Half of the draws prefer the zone of the inputs.
 func (b *Balancer) draw(now time.Time, info PickInfo, candidates []catalog.Upstream, consider func(u *catalog.Upstream)) {
@@ -261,18 +284,6 @@
 	return !u.Silent && !slices.Contains(info.Exclude, u.ID) && !now.Before(b.state(u.ID).cooldownEnds)
 }
 
-// homeOf returns the upstream that a prefix hashes to, the same one that ByHash returns.
-func homeOf(prefix string, candidates []catalog.Upstream) *catalog.Upstream {
-	key := rendezvous.NewKey(prefix)
-	best, bestWeight := &candidates[0], uint64(0)
-	for i := range candidates {
-		if w := key.Weight(candidates[i].ID); w > bestWeight {
-			best, bestWeight = &candidates[i], w
-		}
-	}
-	return best
-}
-
 // estimate returns what is expected of a request at an upstream.
 func (b *Balancer) estimate(now time.Time, info PickInfo, p *prompt, u *catalog.Upstream, home bool) estimate {
 	s := b.state(u.ID)
--- a/internal/serve/balance/learned_test.go
+++ b/internal/serve/balance/learned_test.go
@@ -118,9 +118,19 @@
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{10, 100, 400} {
 		from := upstreams(n)
-		for _, prefix := range []string{"", "p"} {
-			b.Run(fmt.Sprintf("upstreams=%d/prefix=%v", n, prefix != ""), func(b *testing.B) {
-				balancer := learning(1, n)
+		for _, state := range []string{"plain", "prefix", "full", "silent"} {
+			b.Run(fmt.Sprintf("upstreams=%d/%s", n, state), func(b *testing.B) {
+				balancer, prefix := learning(1, n), ""
+				if state == "prefix" {
+					prefix = "p"
+				}
+				for i := range from {
+					from[i].Silent = state == "silent"
+					if state == "full" {
+						balancer.cfg.Model.Full(t0, "s", from[i].ID, 0)
+						balancer.Report(t0, from[i].ID, Report{Running: 4, Waiting: 20, Slots: 4})
+					}
+				}
 				info := PickInfo{Prefix: prefix, Zone: "z1", InputBytes: 1 << 18}
 				for i := range 6 {
 					info.Prompt = append(info.Prompt, Segment{ID: fmt.Sprint("segment", i), Tokens: 300})
--- a/internal/serve/balance/load_test.go
+++ b/internal/serve/balance/load_test.go
@@ -413,3 +413,23 @@
 		t.Errorf("got %.3f in time in the 10 s after the loss of the pooling entry, want at least 0.02 less than the %.3f without one", lost.inTime, alone.inTime)
 	}
 }
+
+// Guards against entries that share what they believe so closely that all turn to the same
+// engines at once: near the capacity of the service, that once served half as many callers
+// in time as no pooling.
+func TestPooledObservationsDoNotCauseHerdsNearCapacity(t *testing.T) {
+	nearCapacity := func() *play {
+		p := newPlay(11, 27, true, twoSpeeds(46, true)...)
+		p.requestsPerSecond, p.end, p.prefixes = 450, 40, 30
+		return p
+	}
+	alone := nearCapacity().run().summary(10, 40)
+	p := nearCapacity()
+	p.pool = capacity.NewPool()
+	pooled := p.run().summary(10, 40)
+	t.Logf("each entry by itself: %v", alone)
+	t.Logf("pooled:               %v", pooled)
+	if pooled.inTime < alone.inTime-0.04 {
+		t.Errorf("got %.3f in time with pooled observations, want at most 0.04 less than %.3f", pooled.inTime, alone.inTime)
+	}
+}
--- a/internal/serve/balance/prefixes.go
+++ b/internal/serve/balance/prefixes.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
+	"hawthornhub.example/hawthornhub/internal/fleet/rendezvous"
 )
 
 const (
@@ -29,6 +30,36 @@
 // two generations and drops the older one when the newer is full. The zero value is empty.
 type prefixMemory struct {
 	current, previous map[uint64][]holder
+	homes             map[string]home
+}
+
+// home is the upstream that a prefix hashes to, as of a time.
+type home struct {
+	id string
+	at time.Time
+}
+
+// homeTTL is how long a home is kept. Ranking 400 upstreams takes most of the time of a
+// decision, and while they change, a prefix may have another home for a moment.
+const homeTTL = 250 * time.Millisecond
+
+// home returns the ID of the upstream that a prefix hashes to, the one that ByHash returns.
+func (m *prefixMemory) home(now time.Time, prefix string, candidates []catalog.Upstream) string {
+	if h, ok := m.homes[prefix]; ok && now.Sub(h.at) < homeTTL {
+		return h.id
+	}
+	key := rendezvous.NewKey(prefix)
+	best, bestWeight := 0, uint64(0)
+	for i := range candidates {
+		if w := key.Weight(candidates[i].ID); w > bestWeight {
+			best, bestWeight = i, w
+		}
+	}
+	if m.homes == nil || len(m.homes) >= maxPrefixes {
+		m.homes = make(map[string]home)
+	}
+	m.homes[prefix] = home{id: candidates[best].ID, at: now}
+	return candidates[best].ID
 }
 
 // prompt is the prompt of one request with what is known of its prefixes.
--- a/internal/serve/capacity/model.go
+++ b/internal/serve/capacity/model.go
@@ -18,9 +18,10 @@
 	// small, so that an upstream that is observed keeps its own pace, and one that has not
 	// been observed for half a minute counts as typical.
 	typicalEvidence = 0.3
-	// pooledFactor is the weight of a pooled pace relative to that of an own one, because
-	// it rests on the observations of several entries.
-	pooledFactor = 2
+	// pooledFactor is the weight of a pooled pace relative to that of an own one. It decides
+	// where an entry has observed little, while the entries go on to differ where each has
+	// observed enough.
+	pooledFactor = 0.7
 	// medianInterval is how often the median pace of a service is computed.
 	medianInterval = 250 * time.Millisecond
 	// keepsPace is the growth up to which an upstream is said to keep its pace.
--- a/internal/serve/capacity/report.go
+++ b/internal/serve/capacity/report.go
@@ -66,6 +66,12 @@
 // pooledRetention is how long a pooled pace is kept that is not renewed.
 const pooledRetention = 10 * evidenceHalfLife
 
+// deadZone is the logarithm of a pace, about 1.35, by which pooled paces count as closer to
+// the typical one. Entries see small differences by themselves and each a little otherwise.
+// If they shared them, all would turn to the same upstreams at once: near the capacity of a
+// service, that served fewer callers in time than no pooling.
+const deadZone = 0.3
+
 // maxPooled bounds the number of pooled paces of a service.
 const maxPooled = 4096
 
@@ -127,5 +133,7 @@
 
 // pooled returns the pooled pace that a record of news holds.
 func (r Record) pooled(now time.Time) pooledPace {
-	return pooledPace{pace: r.logPace(), evidence: float64(min(r.Weight, maxRecordWeight)) / weightSteps, at: now}
+	pace := r.logPace()
+	pace -= clamp(pace, deadZone)
+	return pooledPace{pace: pace, evidence: float64(min(r.Weight, maxRecordWeight)) / weightSteps, at: now}
 }
--- a/internal/serve/capacity/window.go
+++ b/internal/serve/capacity/window.go
@@ -70,24 +70,26 @@
 	}
 	w.closed = w.closed[:keep]
 	w.lastAt = now
-	w.value, w.evidence = w.estimate()
+	w.value, w.evidence = w.estimate(now)
 }
 
-// estimate returns the weighted median of the windows and their total weight.
-func (w *paceWindows) estimate() (value, weight float64) {
+// estimate returns the weighted median of the windows, and their total weight, to which old
+// ones add less: few and old observations are weak evidence.
+func (w *paceWindows) estimate(now time.Time) (value, evidence float64) {
 	points := make([]weighted, 0, windowCount+1)
-	sum, next := windowWeight(len(w.samples)), 1.0
-	points = append(points, weighted{median(w.samples), sum})
+	evidence = windowWeight(len(w.samples))
+	next := 1.0
+	points = append(points, weighted{median(w.samples), evidence})
 	for _, c := range w.closed {
 		next *= windowDecay
 		weight := next * windowWeight(c.count)
-		sum += weight
+		evidence += decayed(weight, now.Sub(c.at))
 		points = append(points, weighted{c.median, weight})
 	}
 	if len(w.closed) < 3 {
 		points = append(points, weighted{0, typicalWeight})
 	}
-	return weightedMedian(points), sum
+	return weightedMedian(points), evidence
 }
 
 // weight returns the weight of the estimate, which halves with evidenceHalfLife.
