--- a/internal/serve/balance/doc.go
+++ b/internal/serve/balance/doc.go
@@ -11,9 +11,15 @@
 // Upstreams that fail calls, or that report being slow, get a worse score. Those
 // that are unresponsive or in a cooldown are chosen only if no others are left.
 //
+// With Config.Model, a Balancer chooses by the learned capacity of package capacity: the
+// upstream with the least expected time of some drawn at random, of those that the prompt's
+// prefix was sent to, and of the one that the prefix hashes to. A popular prefix goes
+// elsewhere once the queue costs more time than the cache saves.
+//
 // # Usage
 //
-//	b := balance.New(balance.Config{Zone: zone, Random: rand.IntN})
-//	u, ok := b.Pick(now, balance.PickInfo{Prefix: prefix}, candidates)
-//	b.Done(now, u.ID, balance.DoneInfo{Report: report})
+//	b := balance.New(balance.Config{Zone: zone, Random: rand.IntN, Model: model})
+//	c, ok := b.Choose(now, balance.PickInfo{Prefix: prefix, Prompt: segments}, candidates)
+//	b.Begun(firstEvent, c)
+//	b.End(end, c, balance.DoneInfo{Report: report})
 package balance
