serve/capacity, serve/balance: limits of small upstreams last

The number of requests at which an upstream refused was forgotten within seconds, while the size of its queue seldom changes. The limit now rises over a minute, and at once with an answer at a higher load.

--- a/internal/api/gateway/expected_test.go
+++ b/internal/api/gateway/expected_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -9,11 +10,23 @@
 	"time"
 
 	"hawthornhub.example/hawthornhub/internal/dispatch/batcher"
+	"hawthornhub.example/hawthornhub/internal/dispatch/transport"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
 	"hawthornhub.example/hawthornhub/internal/serve/capacity"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
+// classify reads the test headers of an answer. Load has the running and the waiting requests
+// and the slots.
+func classify(_ int, h http.Header) transport.Reply {
+	reply := transport.Reply{ID: h.Get("Id"), NotExecuted: h.Get("Not-Run") != ""}
+	var load balance.Report
+	if n, _ := fmt.Sscanf(h.Get("Load"), "%d,%d,%d", &load.Running, &load.Waiting, &load.Slots); n == 3 {
+		reply.Load = &load
+	}
+	return reply
+}
+
 // learn lets the gateway choose upstreams by learned capacity.
 func (f *fixture) learn() {
 	f.cfg.Balancer = balance.New(balance.Config{Random: rand.New(rand.NewPCG(1, 2)).IntN, Model: capacity.NewModel()})
--- a/internal/api/gateway/gateway_test.go
+++ b/internal/api/gateway/gateway_test.go
@@ -62,15 +62,6 @@
 	}
 }
 
-func classify(_ int, h http.Header) transport.Reply {
-	reply := transport.Reply{ID: h.Get("Id"), NotExecuted: h.Get("Not-Run") != ""}
-	var load balance.Report
-	if n, _ := fmt.Sscanf(h.Get("Load"), "%d,%d,%d", &load.Running, &load.Waiting, &load.Slots); n == 3 {
-		reply.Load = &load
-	}
-	return reply
-}
-
 // upstream is a test server that counts the requests it receives.
 type upstream struct {
 	*httptest.Server
--- a/internal/serve/balance/load_test.go
+++ b/internal/serve/balance/load_test.go
@@ -110,6 +110,8 @@
 	poolDeadFrom, poolDeadUntil float64
 	// requestsPerSecond is the rate over all entries, end the time of the last request.
 	requestsPerSecond, end float64
+	// burstRate is the rate from burstFrom until burstUntil.
+	burstFrom, burstUntil, burstRate float64
 	// generate is the average number of seconds that an idle engine of speed 1 needs for
 	// the rest of the answer after the first event, or for all of it if it is plain.
 	generate float64
@@ -195,7 +197,11 @@
 // arrive sends one request and schedules the next.
 func (p *play) arrive() {
 	if p.now < p.end {
-		p.after(p.random.ExpFloat64()/p.requestsPerSecond, p.arrive)
+		rate := p.requestsPerSecond
+		if p.now >= p.burstFrom && p.now < p.burstUntil {
+			rate = p.burstRate
+		}
+		p.after(p.random.ExpFloat64()/rate, p.arrive)
 	}
 	info := PickInfo{Prompt: []Segment{{ID: "own" + fmt.Sprint(p.random.Uint64()), Tokens: 50 + p.random.IntN(600)}}}
 	if p.prefixes > 0 {
@@ -203,18 +209,27 @@
 		info.Prefix = fmt.Sprint("p", i)
 		info.Prompt = append([]Segment{{ID: info.Prefix, Tokens: 1000}}, info.Prompt...)
 	}
-	p.send(p.entries[p.random.IntN(len(p.entries))], info, p.generate*(0.3+0.7*p.random.ExpFloat64()))
+	p.send(p.entries[p.random.IntN(len(p.entries))], info, p.now, p.generate*(0.3+0.7*p.random.ExpFloat64()))
 }
 
-// send sends a request that generates tokens for so many seconds on an idle engine.
-func (p *play) send(b *Balancer, info PickInfo, generate float64) {
+// roomWait is the number of seconds after which a request looks again for an engine with
+// room.
+const roomWait = 0.03
+
+// send sends a request that arrived at a time and generates tokens for so many seconds on an
+// idle engine. It waits for room as long as the objective can be met, as the gateway does.
+func (p *play) send(b *Balancer, info PickInfo, began, generate float64) {
 	var candidates []catalog.Upstream
 	for _, e := range p.engines {
 		candidates = append(candidates, e.Upstream)
 	}
 	c, _ := b.Choose(p.time(), info, candidates)
-	i := slices.IndexFunc(p.engines, func(e *simEngine) bool { return e.ID == c.ID })
-	e, began := p.engines[i], p.now
+	if c.Full && p.now+roomWait+c.Expected.Seconds() < began+p.objective {
+		b.Cancel(c)
+		p.after(roomWait, func() { p.send(b, info, began, generate) })
+		return
+	}
+	e := p.engines[slices.IndexFunc(p.engines, func(e *simEngine) bool { return e.ID == c.ID })]
 	report := func() *Report {
 		return &Report{Running: e.running, Waiting: len(e.waiting), Slots: e.slots, Slowness: e.factor(p.now) * e.speed}
 	}
@@ -275,18 +290,21 @@
 // summary is what callers got in a span of time: the share that got the first event within
 // the objective, and the median and the 95th percentile of the time to it.
 type summary struct {
-	inTime, median, p95 float64
-	n                   int
+	inTime, refused, median, p95 float64
+	n                            int
 }
 
 func (p *play) summary(from, until float64) summary {
 	var took []float64
-	inTime, n := 0, 0
+	inTime, refused, n := 0, 0, 0
 	for _, r := range p.results {
 		if r.at < from || r.at >= until {
 			continue
 		}
 		n++
+		if r.refused {
+			refused++
+		}
 		if !r.refused {
 			took = append(took, r.took)
 		}
@@ -298,11 +316,11 @@
 	if len(took) == 0 {
 		return summary{}
 	}
-	return summary{float64(inTime) / float64(n), took[len(took)/2], took[len(took)*95/100], n}
+	return summary{float64(inTime) / float64(n), float64(refused) / float64(n), took[len(took)/2], took[len(took)*95/100], n}
 }
 
 func (s summary) String() string {
-	return fmt.Sprintf("%.1f%% of %d in time, median %.0f ms, p95 %.0f ms", 100*s.inTime, s.n, 1000*s.median, 1000*s.p95)
+	return fmt.Sprintf("%.1f%% of %d in time, %.1f%% refused, median %.0f ms, p95 %.0f ms", 100*s.inTime, s.n, 100*s.refused, 1000*s.median, 1000*s.p95)
 }
 
 // Guards against choices by fixed weights where the speeds of the upstreams differ: callers
@@ -433,3 +451,29 @@
 		t.Errorf("got %.3f in time with pooled observations, want at most 0.04 less than %.3f", pooled.inTime, alone.inTime)
 	}
 }
+
+// Guards against requests that small upstreams refuse although another has room, or has it
+// in time: in a burst above the capacity of three desks that take 6 at once and refuse
+// beyond 24 more, averaged over six plays.
+func TestBurstAtSmallServiceIsServedInTime(t *testing.T) {
+	burst := func(seed uint64, learn bool) summary {
+		desk := func(speed float64) *simEngine {
+			return &simEngine{speed: speed, slots: 6, queue: 24, plain: true, noisy: true}
+		}
+		p := newPlay(seed, 24, learn, desk(1.2), desk(1), desk(0.55))
+		p.requestsPerSecond, p.end, p.generate, p.objective = 45, 36, 0.18, 1.5
+		p.burstFrom, p.burstUntil, p.burstRate = 30, 33, 110
+		return p.run().summary(30, 34)
+	}
+	const plays = 6
+	var fixed, learned summary
+	for seed := range uint64(plays) {
+		f, l := burst(seed, false), burst(seed, true)
+		fixed.inTime, fixed.refused = fixed.inTime+f.inTime/plays, fixed.refused+f.refused/plays
+		learned.inTime, learned.refused = learned.inTime+l.inTime/plays, learned.refused+l.refused/plays
+	}
+	t.Logf("in the burst, fixed weights: %.3f in time, %.3f refused; learned: %.3f and %.3f", fixed.inTime, fixed.refused, learned.inTime, learned.refused)
+	if learned.inTime < fixed.inTime+0.02 || learned.refused > fixed.refused {
+		t.Errorf("got %.3f in time and %.3f refused, want at least 0.02 more than %.3f and at most %.3f", learned.inTime, learned.refused, fixed.inTime, fixed.refused)
+	}
+}
--- a/internal/serve/capacity/model.go
+++ b/internal/serve/capacity/model.go
@@ -27,8 +27,9 @@
 	// keepsPace is the growth up to which an upstream is said to keep its pace.
 	keepsPace = 1.5
 	// limitHalfLife is the time in which the distance of a limit to twice its value
-	// halves, so that an upstream that had to refuse is tried again above it.
-	limitHalfLife = 5 * time.Second
+	// halves, so that an upstream that had to refuse is tried again above it. The size of a
+	// queue seldom changes, and an answer at a higher load raises the limit at once.
+	limitHalfLife = time.Minute
 	// startAnswers is the number of answers from which an upstream counts as known. Before,
 	// it gets one request more than it has given answers.
 	startAnswers = 8
@@ -140,6 +141,9 @@
 		return
 	}
 	u.answers = min(u.answers+1, startAnswers)
+	if limit := u.limitNow(now); o.Load > limit {
+		u.limit, u.limitAt = o.Load, now
+	}
 	if !s.line.HasSamples() {
 		s.load = o.Load
 	}
@@ -346,12 +350,20 @@
 func (s *service) concurrency(now time.Time, u *upstream) float64 {
 	limit := min(u.limitNow(now), 1<<(growthPoints-1))
 	low := s.growth.growth(1, u.slots) + u.deviation.deviation(1)
+	keeps := func(load float64) bool {
+		return s.growth.growth(load, u.slots)+u.deviation.deviation(load)-low <= math.Log(keepsPace)
+	}
 	best := 1.0
-	for load := 1.0; load <= limit; load *= 1.1 {
-		if s.growth.growth(load, u.slots)+u.deviation.deviation(load)-low > math.Log(keepsPace) {
-			break
+	for best*2 <= limit && keeps(best*2) {
+		best *= 2
+	}
+	above := min(limit, best*2)
+	for above-best > 0.1*best {
+		if middle := (best + above) / 2; keeps(middle) {
+			best = middle
+		} else {
+			above = middle
 		}
-		best = load
 	}
 	return math.Floor(best)
 }
