--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -22,10 +22,12 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/breaker"
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
+	"hawthornhub.example/hawthornhub/internal/fleet/pooling"
 	"hawthornhub.example/hawthornhub/internal/fleet/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/fleet/watch"
 	"hawthornhub.example/hawthornhub/internal/operator/settings"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
+	"hawthornhub.example/hawthornhub/internal/serve/capacity"
 	"hawthornhub.example/hawthornhub/internal/serve/eligible"
 	"hawthornhub.example/hawthornhub/internal/serve/zonefilter"
 	"hawthornhub.example/hawthornhub/internal/state/site"
@@ -70,6 +72,11 @@
 	zones *zonefilter.Filter
 	// zoneRestored is called with each zone whose evacuation has ended.
 	zoneRestored func(zone string)
+	// capacity is what is learned of the upstreams, nil if that is not enabled.
+	capacity *capacity.Model
+	// pooling exchanges it with other gateways.
+	pooling      atomic.Pointer[pooling.Exchange]
+	poolingLinks *link.Pool
 	balancer     *balance.Balancer
 	breakers     *breaker.Guard
 	transport    *transport.Pool
@@ -103,7 +110,11 @@
 
 func (g *gatewayProcess) start() error {
 	s := g.settings
-	g.balancer = balance.New(balance.Config{Zone: s.Zone, Random: rand.IntN})
+	var stageTimes *capacity.Model
+	if s.Capacity.Learn {
+		g.capacity, stageTimes = capacity.NewModel(), capacity.NewModel()
+	}
+	g.balancer = balance.New(balance.Config{Zone: s.Zone, Random: rand.IntN, Model: g.capacity})
 	g.breakers = breaker.NewGuard(breaker.GuardConfig{Report: g.reportPrompts, Rank: g.trialRank, Log: g.log})
 	g.upstreams = catalog.New(catalog.Config{OnChange: g.onUpstreamChange})
 	g.zones = zonefilter.New(zonefilter.Config{Random: rand.Float64})
@@ -116,6 +127,7 @@
 		Upstreams: g.availableUpstreams,
 		Rules:     g.rules,
 		Service:   g.findService,
+		Model:     g.capacity,
 		Log:       g.log,
 	})
 	g.batchRouter = batcher.NewRouter(batcher.RouterConfig{Owner: g.batchOwner, Pool: g.pool, Self: s.Listen.Link, Owners: g.batchOwnerAddresses, Log: g.log})
@@ -133,6 +145,7 @@
 		ResultZone:     g.resultZone,
 		Breakers:       g.breakers,
 		Balancer:       g.balancer,
+		StageTimes:     stageTimes,
 		EntryCount:     g.entryCount,
 		Retry:          gateway.RetryBudget{Ratio: s.Retry.Ratio, Burst: s.Retry.Burst},
 		Zone:           s.Zone,
@@ -160,6 +173,7 @@
 		},
 		Log: g.log,
 	}))
+	g.startPooling()
 	g.startGauges(g.updateGauges)
 	g.callerHTTP = &http.Server{Handler: g.server, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxRequestHeaderBytes}
 	g.readyHTTP = &http.Server{Handler: platform.ReadyMux(g.checkReady)}
@@ -167,11 +181,15 @@
 }
 
 // handle serves a stream of another gateway: jobs and result releases for the
-// services whose batching this one owns.
+// services whose batching this one owns, or reports on the capacity of upstreams.
 func (g *gatewayProcess) handle(ctx context.Context, st *link.Stream, first *fleetpb.Envelope) {
 	switch first.Body.(type) {
 	case *fleetpb.Envelope_PieceCall, *fleetpb.Envelope_PieceRelease:
 		g.batchOwner.Serve(ctx, st, first)
+	case *fleetpb.Envelope_CapacityReport:
+		if x := g.pooling.Load(); x != nil {
+			x.Serve(ctx, st, first)
+		}
 	default:
 		g.log.Warn("unexpected message type", zap.String("from", first.From))
 	}
@@ -402,6 +420,7 @@
 	if x := g.server.Index(); x != nil {
 		scope.Gauge("document_version").Update(float64(x.Version))
 	}
+	g.reportCapacity(scope)
 	counts := make(map[catalog.State]int)
 	for _, u := range g.upstreams.All() {
 		counts[u.State]++
@@ -440,7 +459,7 @@
 		g.log.Warn("connections closed at the end of the grace period", zap.Int64("requests", g.server.InFlight()), zap.Error(err))
 		err = g.callerHTTP.Close()
 	}
-	err = errors.Join(err, g.readyHTTP.Close(), g.follower.Load().Close(), g.batchRouter.Close(), g.linkServer.Close(), g.batchOwner.Close(), g.transport.Close(), g.breakers.Close())
+	err = errors.Join(err, g.stopPooling(), g.readyHTTP.Close(), g.follower.Load().Close(), g.batchRouter.Close(), g.linkServer.Close(), g.batchOwner.Close(), g.transport.Close(), g.breakers.Close())
 	g.close()
 	return err
 }
--- a/internal/api/gateway/gateway_test.go
+++ b/internal/api/gateway/gateway_test.go
@@ -62,10 +62,6 @@
 	}
 }
 
-func classify(_ int, h http.Header) transport.Reply {
-	return transport.Reply{ID: h.Get("Id"), NotExecuted: h.Get("Not-Run") != ""}
-}
-
 // upstream is a test server that counts the requests it receives.
 type upstream struct {
 	*httptest.Server
