serve/fairshare, serve/batching, dispatch/batcher: share scarce capacity between accounts

Under overload all accounts were refused equally often, whichever of them caused it. The owner of a batched service now measures what each account asks for and uses. While they ask for more than the service does, jobs of an account that asks for less than its max-min fair share go first within their rank, then those of accounts that have not had their share yet. Without scarcity the order is as before.

The queue was sorted for each batch. It now keeps the jobs of each account and rank in a search tree, and the lanes of a rank in a heap, so that a decision takes logarithmic time for each job that it looks at.

The account travels in PieceCall, together with what accounts have asked for at an entry that counts it. Enabled by [fair] accounts in the settings of a gateway.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -108,6 +108,7 @@
 		Upstreams: g.upstreams.Ready,
 		Rules:     g.rules,
 		Service:   g.findService,
+		Fair:      g.sharesByAccount,
 		Log:       g.log,
 	})
 	g.batchRouter = batcher.NewRouter(batcher.RouterConfig{Owner: g.batchOwner, Pool: g.pool, Self: s.Listen.Link, Owners: g.batchOwnerAddresses, Log: g.log})
@@ -121,6 +122,8 @@
 		RunStage:       g.batchRouter.Do,
 		ReleaseResults: g.batchRouter.Release,
 		QueueWait:      g.batchRouter.QueueWait,
+		Fair:           g.sharesByAccount,
+		Asked:          g.batchRouter.Asked,
 		ResultZone:     g.resultZone,
 		Breakers:       g.breakers,
 		Balancer:       g.balancer,
@@ -295,6 +298,12 @@
 	return u.Zone
 }
 
+// sharesByAccount reports whether scarce capacity is shared between accounts.
+func (g *gatewayProcess) sharesByAccount() bool {
+	x := g.server.Index()
+	return g.settings.Fair.Accounts && x != nil && x.RequiresKey()
+}
+
 // findService returns the configuration of a service.
 func (g *gatewayProcess) findService(name string) (*site.Service, bool) {
 	x := g.server.Index()
--- a/internal/api/gateway/gateway_test.go
+++ b/internal/api/gateway/gateway_test.go
@@ -181,7 +181,7 @@
 			f.jobs = append(f.jobs, job)
 			return f.runStage(job)
 		},
-		QueueWait:  func(string, string, site.Rank) (time.Duration, time.Duration) { return 0, 0 },
+		QueueWait:  func(string, string, string, site.Rank) (time.Duration, time.Duration) { return 0, 0 },
 		ResultZone: func(string) string { return "z" },
 		ReleaseResults: func(_ string, handles []string) {
 			f.mu.Lock()
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -94,6 +94,7 @@
 	unsentCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(q.server.unsentCtx, cancel)()
+	q.recordAsked()
 	if f := q.awaitAdmission(unsentCtx); f != nil {
 		q.server.writeFailure(w, q, f)
 		return
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -48,10 +48,16 @@
 	Rules eligible.Rules
 	// RunStage runs the pieces of one stage of a request.
 	RunStage func(ctx context.Context, job batcher.Job) batcher.Result
-	// QueueWait returns the expected queue wait of new work for a service that prefers
-	// an availability zone: of work of the given rank that can meet its latency
-	// objective, and of work that is queued behind all other.
-	QueueWait func(service, zone string, rank site.Rank) (onTime, total time.Duration)
+	// QueueWait returns the expected queue wait of new work of an account for a service
+	// that prefers an availability zone: of work of the given rank that can meet its
+	// latency objective, and of work that cannot.
+	QueueWait func(service, zone, account string, rank site.Rank) (onTime, total time.Duration)
+	// Fair reports whether scarce capacity is shared between accounts; nil means that it
+	// is not.
+	Fair func() bool
+	// Asked records that an account asks for the pieces of a stage. It is called for each
+	// stage of each request while Fair holds.
+	Asked func(job batcher.Job)
 	// ResultZone returns the availability zone of the upstream that holds a
 	// result, empty if it is not known.
 	ResultZone func(handle string) string
--- a/internal/api/gateway/stages.go
+++ b/internal/api/gateway/stages.go
@@ -171,6 +171,7 @@
 		Objective:   r.objectiveLeft(i),
 		Remaining:   r.timeAfter(i),
 		Rank:        r.rank,
+		Account:     r.account,
 		ResultBytes: stage.ResultBytes,
 		InputBytes:  r.inputBytes(stage.DependsOn),
 	}
@@ -245,7 +246,7 @@
 	if callTime == 0 {
 		return 0
 	}
-	wait, _ := q.server.cfg.QueueWait(q.route.Stages[stage].Service, q.stageZone(), q.rank)
+	wait, _ := q.server.cfg.QueueWait(q.route.Stages[stage].Service, q.stageZone(), q.account, q.rank)
 	return wait + callTime
 }
 
--- a/internal/api/gateway/stop_test.go
+++ b/internal/api/gateway/stop_test.go
@@ -70,7 +70,7 @@
 // another entry can serve it.
 func TestDrainRejectsHeldRequests(t *testing.T) {
 	f := newFixture(t, document(testStages()...), newUpstream(t, ok).URL)
-	f.cfg.QueueWait = func(string, string, site.Rank) (time.Duration, time.Duration) {
+	f.cfg.QueueWait = func(string, string, string, site.Rank) (time.Duration, time.Duration) {
 		return 900 * time.Millisecond, 900 * time.Millisecond
 	}
 	f.runStage = succeed
--- a/internal/dispatch/batcher/call.go
+++ b/internal/dispatch/batcher/call.go
@@ -176,7 +176,7 @@
 		d.complete(piece.Job, Failed{Err: err})
 		return
 	}
-	d.queue.Requeue(piece)
+	d.queue.Requeue(time.Now(), piece)
 }
 
 // recordOutputs records the outputs of a call and returns the results that no job
--- a/internal/dispatch/batcher/job.go
+++ b/internal/dispatch/batcher/job.go
@@ -43,6 +43,8 @@
 		return &InvalidJobError{Field: "request ID"}
 	case !utf8.ValidString(j.Key):
 		return &InvalidJobError{Field: "key"}
+	case !utf8.ValidString(j.Account):
+		return &InvalidJobError{Field: "account"}
 	default:
 		return nil
 	}
@@ -65,11 +67,17 @@
 	// Remaining is the expected duration of the work that follows this stage.
 	Remaining time.Duration
 	Rank      site.Rank
+	// Account is the account of the caller, empty if there is none.
+	Account string
 	// Zone is the preferred availability zone of the upstream, empty for no
 	// preference.
 	Zone string
 	// shardZone is the zone of the shard that runs the job, see shard.
 	shardZone string
+	// counted is set if this process counts what accounts ask for, see Router.Asked. asked
+	// is then what they have asked for since the last job that was sent to the shard.
+	counted bool
+	asked   map[string]int
 	// ResultBytes is the size of the result of one piece.
 	ResultBytes int64
 	// InputBytes is the total size of all inputs.
--- a/internal/dispatch/batcher/owner.go
+++ b/internal/dispatch/batcher/owner.go
@@ -43,7 +43,10 @@
 	Rules eligible.Rules
 	// Service returns the configuration of a service.
 	Service func(name string) (*site.Service, bool)
-	Log     *zap.Logger
+	// Fair reports whether scarce capacity is shared between accounts; nil means that it
+	// is not.
+	Fair func() bool
+	Log  *zap.Logger
 }
 
 // Owner runs the jobs of the services that this process owns. It is safe for
@@ -110,6 +113,7 @@
 		return nil, false
 	}
 	cfg := batching.ConfigOf(config.Batching)
+	cfg.Fair = o.cfg.Fair != nil && o.cfg.Fair()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	d := o.dispatchers[s]
@@ -124,7 +128,7 @@
 		o.dispatchers[s] = d
 	}
 	d.mu.Lock()
-	d.queue.Configure(cfg)
+	d.queue.Configure(time.Now(), cfg)
 	d.resultMemoryBytes = config.Batching.ResultMemoryBytes
 	d.resultTTL = config.Batching.ResultTTL
 	d.mu.Unlock()
@@ -152,12 +156,13 @@
 		Objective: now.Add(job.Objective),
 		Remaining: job.Remaining,
 		Rank:      job.Rank,
+		Account:   job.Account,
 		Zone:      job.Zone,
 
 		ResultBytes: job.ResultBytes,
 		InputBytes:  job.InputBytes,
 	}, job.Pieces)
-	w, refused := d.enqueue(now, queued, job.OnDispatched)
+	w, refused := d.enqueue(now, queued, job)
 	if refused != nil {
 		return *refused
 	}
@@ -181,9 +186,10 @@
 
 // enqueue queues a job and dispatches, or refuses the job if its deadline
 // cannot be met.
-func (d *dispatcher) enqueue(now time.Time, j *batching.Job, onDispatched func()) (*waiter, *Refused) {
+func (d *dispatcher) enqueue(now time.Time, j *batching.Job, request Job) (*waiter, *Refused) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.recordAsked(now, request)
 	capacity := d.capacity(now)
 	if retry, ok := d.queue.Admit(now, j, capacity); !ok {
 		d.owner.cfg.Log.Info("pieces refused",
@@ -191,13 +197,25 @@
 			zap.Int("waiting", d.queue.Waiting()), zap.Float64("upstreams", math.Round(10*capacity)/10), zap.Duration("retry", retry))
 		return nil, &Refused{RetryAfter: retry, Backlog: d.queue.Backlog(now, capacity)}
 	}
-	w := &waiter{done: make(chan Result, 1), enqueued: now, lastDispatch: now, onDispatched: onDispatched}
+	w := &waiter{done: make(chan Result, 1), enqueued: now, lastDispatch: now, onDispatched: request.OnDispatched}
 	d.waiters[j] = w
 	d.queue.Push(j)
 	d.dispatch(now)
 	return w, nil
 }
 
+// recordAsked records what accounts ask for: what the sender of a job reports or, if it
+// counts nothing, the job itself.
+func (d *dispatcher) recordAsked(now time.Time, job Job) {
+	if !job.counted {
+		d.queue.Ask(now, job.Account, job.Pieces)
+		return
+	}
+	for account, pieces := range job.asked {
+		d.queue.Ask(now, account, pieces)
+	}
+}
+
 // cancel removes a job and returns the results that it has so far.
 func (d *dispatcher) cancel(j *batching.Job) []string {
 	d.mu.Lock()
--- a/internal/dispatch/batcher/remote.go
+++ b/internal/dispatch/batcher/remote.go
@@ -11,6 +11,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/operator/logs"
 	"hawthornhub.example/hawthornhub/internal/serve/batching"
+	"hawthornhub.example/hawthornhub/internal/serve/fairshare"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
@@ -41,6 +42,9 @@
 		ResultBytes: j.ResultBytes,
 		InputBytes:  j.InputBytes,
 		Shard:       j.shardZone,
+		Account:     j.Account,
+		Asked:       askedMessage(j.asked),
+		Counted:     j.counted,
 	}
 }
 
@@ -61,9 +65,37 @@
 		ResultBytes: m.ResultBytes,
 		InputBytes:  m.InputBytes,
 		shardZone:   m.Shard,
+		Account:     m.Account,
+		asked:       askedOf(m.Asked),
+		counted:     m.Counted,
 	}
 }
 
+func askedMessage(asked map[string]int) []*fleetpb.AccountPieces {
+	var out []*fleetpb.AccountPieces
+	for account, pieces := range asked {
+		out = append(out, &fleetpb.AccountPieces{Account: account, Pieces: uint64(pieces)})
+	}
+	return out
+}
+
+// askedOf returns the pieces that accounts have asked for. No number is taken for larger
+// than maxAskedPieces.
+func askedOf(asked []*fleetpb.AccountPieces) map[string]int {
+	if len(asked) == 0 {
+		return nil
+	}
+	out := make(map[string]int, len(asked))
+	for _, a := range asked {
+		out[a.GetAccount()] = int(min(a.GetPieces(), maxAskedPieces))
+	}
+	return out
+}
+
+// maxAskedPieces limits the pieces that one message reports for an account. It is many
+// times what an entry is asked for between two messages.
+const maxAskedPieces = 1 << 20
+
 func pieceResult(id uint64, r Result) *fleetpb.PieceResult {
 	m := &fleetpb.PieceResult{Id: id}
 	switch r := r.(type) {
@@ -100,21 +132,48 @@
 }
 
 func backlogMessage(b batching.Backlog) *fleetpb.Backlog {
-	m := &fleetpb.Backlog{LastMs: b.Total.Milliseconds()}
-	for _, w := range b.Ranks {
-		m.Ranks = append(m.Ranks, &fleetpb.RankWait{Rank: int32(w.Rank), WaitMs: w.Wait.Milliseconds()})
+	m := &fleetpb.Backlog{LastMs: b.Total.Milliseconds(), Ranks: rankWaits(b.Ranks), Below: rankWaits(b.Below), Unmet: rankWaits(b.Unmet)}
+	for account, standing := range b.Over {
+		m.Over = append(m.Over, &fleetpb.AccountStanding{Account: account, Met: standing == fairshare.Above})
 	}
 	return m
 }
 
+func rankWaits(waits []batching.RankWait) []*fleetpb.RankWait {
+	var out []*fleetpb.RankWait
+	for _, w := range waits {
+		out = append(out, &fleetpb.RankWait{Rank: int32(w.Rank), WaitMs: w.Wait.Milliseconds()})
+	}
+	return out
+}
+
 func backlogOf(m *fleetpb.Backlog) batching.Backlog {
-	b := batching.Backlog{Total: time.Duration(m.GetLastMs()) * time.Millisecond}
-	for _, w := range m.GetRanks() {
-		b.Ranks = append(b.Ranks, batching.RankWait{Rank: site.Rank(w.Rank), Wait: time.Duration(w.WaitMs) * time.Millisecond})
+	b := batching.Backlog{
+		Total: time.Duration(m.GetLastMs()) * time.Millisecond,
+		Ranks: rankWaitsOf(m.GetRanks()),
+		Below: rankWaitsOf(m.GetBelow()),
+		Unmet: rankWaitsOf(m.GetUnmet()),
+	}
+	for _, a := range m.GetOver() {
+		if b.Over == nil {
+			b.Over = make(map[string]fairshare.Standing)
+		}
+		b.Over[a.GetAccount()] = fairshare.Unmet
+		if a.GetMet() {
+			b.Over[a.GetAccount()] = fairshare.Above
+		}
 	}
 	return b
 }
 
+func rankWaitsOf(waits []*fleetpb.RankWait) []batching.RankWait {
+	var out []batching.RankWait
+	for _, w := range waits {
+		out = append(out, batching.RankWait{Rank: site.Rank(w.GetRank()), Wait: time.Duration(w.GetWaitMs()) * time.Millisecond})
+	}
+	return out
+}
+
 // Serve runs the jobs of another process until its stream ends, and then cancels
 // those that are still running.
 func (o *Owner) Serve(ctx context.Context, st *link.Stream, first *fleetpb.Envelope) {
--- a/internal/dispatch/batcher/router.go
+++ b/internal/dispatch/batcher/router.go
@@ -42,7 +42,12 @@
 	lostUntil map[string]time.Time
 	// backlogs are the last reported backlogs.
 	backlogs map[shard]reportedBacklog
-	wg       sync.WaitGroup
+	// asked is what accounts have asked for since the last job was sent, by shard and
+	// account.
+	asked map[shard]map[string]int
+	// counted is set once Asked has been called.
+	counted bool
+	wg      sync.WaitGroup
 }
 
 // reportedBacklog is a backlog that an owner reported with a result.
@@ -57,7 +62,7 @@
 
 // NewRouter returns a Router without streams.
 func NewRouter(cfg RouterConfig) *Router {
-	r := &Router{cfg: cfg, remotes: make(map[string]*remoteOwner), lostUntil: make(map[string]time.Time), backlogs: make(map[shard]reportedBacklog)}
+	r := &Router{cfg: cfg, remotes: make(map[string]*remoteOwner), lostUntil: make(map[string]time.Time), backlogs: make(map[shard]reportedBacklog), asked: make(map[shard]map[string]int)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
 }
@@ -79,6 +84,7 @@
 		return Failed{Err: err}
 	}
 	job.shardZone = shardOf(job, r.upstreams(job.Service)).zone
+	job.asked, job.counted = r.takeAsked(job.shard())
 	result := r.route(ctx, job)
 	switch result := result.(type) {
 	case Completed:
@@ -99,17 +105,42 @@
 	r.backlogs[s] = reportedBacklog{waits: waits, at: time.Now()}
 }
 
-// QueueWait returns how long a new job for a service that prefers a zone is expected
-// to wait: onTime if it has the given rank and can meet its objective, total if it is
-// queued behind all others.
-func (r *Router) QueueWait(service, zone string, rank site.Rank) (onTime, total time.Duration) {
+// QueueWait returns how long a new job of an account for a service that prefers a zone is
+// expected to wait: onTime if it has the given rank and can meet its objective, total if it
+// cannot.
+func (r *Router) QueueWait(service, zone, account string, rank site.Rank) (onTime, total time.Duration) {
 	s := shardOf(Job{Service: service, Zone: zone}, r.upstreams(service))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.backlogs[s]
 	weight := max(0, 1-time.Since(b.at).Seconds()/backlogLifetime.Seconds())
 	decayed := func(wait time.Duration) time.Duration { return time.Duration(float64(wait) * weight) }
-	return decayed(b.waits.For(rank)), decayed(b.waits.Total)
+	onTime, total = b.waits.ForAccount(account, rank)
+	return decayed(onTime), decayed(total)
+}
+
+// Asked records that the account of a job asks for its pieces. It is called once for each
+// stage of a request when the request arrives, whether the request is served or not. What
+// it records goes to the owner with the next job.
+func (r *Router) Asked(job Job) {
+	s := shardOf(job, r.upstreams(job.Service))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.asked[s] == nil {
+		r.asked[s] = make(map[string]int)
+	}
+	r.asked[s][job.Account] += job.Pieces
+	r.counted = true
+}
+
+// takeAsked returns what accounts have asked for since the last call, false if nothing is
+// counted here.
+func (r *Router) takeAsked(s shard) (asked map[string]int, counted bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	asked = r.asked[s]
+	delete(r.asked, s)
+	return asked, r.counted
 }
 
 func (r *Router) route(ctx context.Context, job Job) Result {
--- a/internal/operator/settings/site.go
+++ b/internal/operator/settings/site.go
@@ -33,6 +33,7 @@
 	Replica  SiteReplica `toml:"replica"`
 	Stop     SiteStop    `toml:"stop"`
 	Retry    SiteRetry   `toml:"retry"`
+	Fair     SiteFair    `toml:"fair"`
 }
 
 // SiteListen holds the addresses on which the process listens, each as IP:port.
@@ -80,6 +81,14 @@
 	Burst float64 `toml:"slack"`
 }
 
+// SiteFair sets how scarce capacity is shared.
+type SiteFair struct {
+	// Accounts shares scarce capacity between the accounts of the document, if it has
+	// any. It is set on all gateways or on none: the one that owns a service decides for
+	// all. The default is false.
+	Accounts bool `toml:"accounts"`
+}
+
 // LoadSite reads and validates the settings of a gateway or registry. If the file
 // can be read but is invalid, the error is a *ValidationError.
 func LoadSite(file string, role Role) (Site, error) {
--- a/internal/serve/batching/backlog.go
+++ b/internal/serve/batching/backlog.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hawthornhub.example/hawthornhub/internal/serve/fairshare"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
@@ -15,6 +16,12 @@
 	Ranks []RankWait
 	// Total is the delay of a job that is queued behind all others.
 	Total time.Duration
+	// Below and Unmet are set while capacity is shared between accounts. They hold the
+	// delay at each rank that has jobs for an account with that standing.
+	Below, Unmet []RankWait
+	// Over holds the accounts that ask for more than their share with their standing.
+	// Others are below their share.
+	Over map[string]fairshare.Standing
 }
 
 // RankWait is the expected queueing delay at one rank.
@@ -35,3 +42,31 @@
 	}
 	return wait
 }
+
+// ForAccount returns the expected queueing delay of a new job of an account and a rank:
+// onTime if it can still meet its objective, total if it can't.
+func (b Backlog) ForAccount(account string, rank site.Rank) (onTime, total time.Duration) {
+	if len(b.Over) == 0 {
+		return b.For(rank), b.Total
+	}
+	switch b.Over[account] {
+	case fairshare.Below:
+		wait := b.at(b.Below, rank)
+		return wait, wait
+	case fairshare.Unmet:
+		return b.at(b.Unmet, rank), b.Total
+	default:
+		return b.For(rank), b.Total
+	}
+}
+
+// at returns the delay in waits at exactly the given rank. Where no job has that rank,
+// only more urgent ranks cause a delay.
+func (b Backlog) at(waits []RankWait, rank site.Rank) time.Duration {
+	for _, w := range waits {
+		if w.Rank == rank {
+			return w.Wait
+		}
+	}
+	return b.For(rank)
+}
--- a/internal/serve/batching/job.go
+++ b/internal/serve/batching/job.go
@@ -24,7 +24,9 @@
 	// Remaining is the expected time of the stages after this one.
 	Remaining time.Duration
 	Rank      site.Rank
-	Zone      string
+	// Account is the account of the caller, empty if there is none.
+	Account string
+	Zone    string
 	// ResultBytes is the size of the result of one piece.
 	ResultBytes int64
 	// InputBytes is the total size of all inputs.
@@ -34,6 +36,11 @@
 	pending   []int
 	completed int
 	calls     int
+
+	// lane holds the job while pieces wait, in the tree of its kind, under a key with seq.
+	lane *lane
+	kind kind
+	seq  uint64
 }
 
 // NewJob returns a Job of n pieces, none of which has run.
--- a/internal/serve/batching/priority_test.go
+++ b/internal/serve/batching/priority_test.go
@@ -98,7 +98,7 @@
 				early++
 			}
 		}
-		for _, j := range q.jobs {
+		for _, j := range q.inOrder(now) {
 			if !now.Before(j.Deadline) {
 				t.Fatalf("a job of rank %d waits past its deadline", j.Rank)
 			}
--- a/internal/serve/batching/queue.go
+++ b/internal/serve/batching/queue.go
@@ -1,11 +1,9 @@
 package batching
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"time"
 
+	"hawthornhub.example/hawthornhub/internal/serve/fairshare"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
@@ -15,6 +13,9 @@
 	MaxBatch int
 	// CallOverhead is the fixed time of a call, PieceTime what each piece adds.
 	CallOverhead, PieceTime time.Duration
+	// Fair shares scarce capacity between accounts, see package fairshare. Otherwise
+	// accounts are ignored.
+	Fair bool
 }
 
 // ConfigOf returns the Config of a service.
@@ -41,15 +42,44 @@
 // concurrent use.
 type Queue struct {
 	cfg     Config
-	jobs    []*Job
+	lanes   lanes
 	waiting int
+	fair    sharing
 }
 
 // NewQueue returns an empty Queue.
-func NewQueue(cfg Config) *Queue { return &Queue{cfg: cfg} }
+func NewQueue(cfg Config) *Queue {
+	q := &Queue{cfg: cfg, fair: newSharing(cfg.Fair)}
+	q.lanes = newLanes(cfg.TypicalDuration(), q.fair.meter)
+	return q
+}
 
 // Configure replaces the configuration.
-func (q *Queue) Configure(cfg Config) { q.cfg = cfg }
+func (q *Queue) Configure(now time.Time, cfg Config) {
+	if cfg == q.cfg {
+		return
+	}
+	jobs := q.inOrder(now)
+	if cfg.Fair != q.cfg.Fair {
+		q.fair = newSharing(cfg.Fair)
+	}
+	q.fair.byAge = tree{}
+	q.cfg, q.lanes = cfg, newLanes(cfg.TypicalDuration(), q.fair.meter)
+	for _, j := range jobs {
+		q.insert(now, j)
+	}
+}
+
+// inOrder returns all jobs in the order in which they are served.
+func (q *Queue) inOrder(now time.Time) []*Job {
+	q.lanes.advance(now)
+	var out []*Job
+	q.lanes.walk(func(j *Job) bool {
+		out = append(out, j)
+		return true
+	})
+	return out
+}
 
 // Waiting returns the number of pieces that wait for a batch.
 func (q *Queue) Waiting() int { return q.waiting }
@@ -63,6 +93,11 @@
 	return upstreams * float64(q.cfg.MaxBatch) / q.Duration(q.cfg.MaxBatch).Seconds()
 }
 
+// wait returns the time in which the upstreams complete n pieces.
+func (q *Queue) wait(n int, upstreams float64) time.Duration {
+	return time.Duration(float64(n) / q.rate(upstreams) * float64(time.Second))
+}
+
 // Backlog returns the expected queueing delay: at each rank that of the jobs on
 // time, and in total that of all jobs. upstreams is the capacity, in upstreams of
 // normal speed.
@@ -70,20 +105,26 @@
 	if upstreams == 0 {
 		return Backlog{Total: q.Duration(q.cfg.MaxBatch)}
 	}
-	pieces := make(map[site.Rank]int)
-	for _, j := range q.jobs {
-		if !j.late(now, q.cfg.TypicalDuration()) {
-			pieces[j.Rank] += len(j.pending)
+	q.updateShares(now, upstreams)
+	q.lanes.advance(now)
+	scarce := q.fair.meter.Scarce()
+	out := Backlog{Total: q.wait(q.waiting, upstreams), Over: q.fair.over(now)}
+	urgent := 0
+	for _, r := range q.lanes.ranks {
+		onTimePieces := 0
+		for standing := range r.groups {
+			onTimePieces += r.groups[standing][onTime].pieces
+		}
+		if scarce {
+			below := urgent + r.groups[fairshare.Below][onTime].pieces + r.groups[fairshare.Below][late].pieces
+			unmet := below + r.groups[fairshare.Unmet][onTime].pieces
+			out.Below = append(out.Below, RankWait{Rank: r.rank, Wait: q.wait(below, upstreams)})
+			out.Unmet = append(out.Unmet, RankWait{Rank: r.rank, Wait: q.wait(unmet, upstreams)})
+		}
+		urgent += r.urgent(scarce)
+		if onTimePieces > 0 {
+			out.Ranks = append(out.Ranks, RankWait{Rank: r.rank, Wait: q.wait(urgent, upstreams)})
 		}
-	}
-	wait := func(n int) time.Duration {
-		return time.Duration(float64(n) / q.rate(upstreams) * float64(time.Second))
-	}
-	out := Backlog{Total: wait(q.waiting)}
-	ahead := 0
-	for _, rank := range slices.Sorted(maps.Keys(pieces)) {
-		ahead += pieces[rank]
-		out.Ranks = append(out.Ranks, RankWait{Rank: rank, Wait: wait(ahead)})
 	}
 	return out
 }
@@ -95,13 +136,9 @@
 	if upstreams == 0 {
 		return q.Duration(q.cfg.MaxBatch), false
 	}
-	ahead := 0
-	for _, other := range q.jobs {
-		if compare(now, other, j, q.cfg.TypicalDuration()) < 0 {
-			ahead += len(other.pending)
-		}
-	}
-	need := q.timeToResponse(j, ahead, upstreams)
+	q.updateShares(now, upstreams)
+	q.lanes.advance(now)
+	need := q.timeToResponse(j, q.lanes.ahead(now, j, q.accountOf(j)), upstreams)
 	if left := j.Deadline.Sub(now); need > left {
 		return need - left, false
 	}
@@ -110,10 +147,29 @@
 
 // Push adds a job.
 func (q *Queue) Push(j *Job) {
-	q.jobs = append(q.jobs, j)
+	q.insert(j.Arrived, j)
 	q.waiting += len(j.pending)
 }
 
+func (q *Queue) insert(now time.Time, j *Job) {
+	q.lanes.insert(now, j, q.accountOf(j))
+	q.fair.insert(j)
+}
+
+// accountOf returns the account whose share the job counts for, the same for all if nothing
+// is shared by account.
+func (q *Queue) accountOf(j *Job) string {
+	if !q.cfg.Fair {
+		return ""
+	}
+	return j.Account
+}
+
+func (q *Queue) remove(j *Job) {
+	q.fair.remove(j)
+	q.lanes.remove(j)
+}
+
 // Upstream describes the upstream that a batch is formed for.
 type Upstream struct {
 	// IdleCount is the number of idle upstreams, including this one. When few
@@ -149,37 +205,92 @@
 	if q.waiting == 0 {
 		return nil
 	}
-	q.sort(now)
-	idle, free := u.IdleCount, u.FreeBytes
-	n := min(q.cfg.MaxBatch, max(q.minBatch(), (q.waiting+idle-1)/max(1, idle)))
-	extra := time.Duration((u.Slowness - 1) * float64(q.Duration(n)))
-	typical := q.cfg.TypicalDuration()
-	var out []Piece
-	kept := q.jobs[:0]
-	for _, j := range q.jobs {
-		take := min(n-len(out), len(j.pending), j.resultsThatFit(free))
-		if j.inOtherZone(u.Zone) && now.Sub(j.Arrived) < j.zoneWait() {
-			take = 0
-		}
-		if u.Slowness >= slowThreshold && !j.late(now, typical) && j.late(now, typical+extra) {
-			take = 0
-		}
-		free -= int64(take) * j.ResultBytes
-		for _, i := range j.pending[:take] {
-			out = append(out, Piece{Job: j, Index: i})
-		}
-		j.pending = j.pending[take:]
-		if take > 0 {
-			j.calls++
+	q.lanes.advance(now)
+	n := min(q.cfg.MaxBatch, max(q.minBatch(), (q.waiting+u.IdleCount-1)/max(1, u.IdleCount)))
+	b := &batch{queue: q, now: now, upstream: u, size: n, free: u.FreeBytes, extra: time.Duration((u.Slowness - 1) * float64(q.Duration(n)))}
+	q.fair.aged(now, func(j *Job, limit int) int {
+		n := b.reserve(j, min(limit, b.size-len(b.pieces)))
+		b.take(j, n)
+		return n
+	})
+	var next []pick
+	left := n - len(b.pieces)
+	q.lanes.walk(func(j *Job) bool {
+		if left == 0 {
+			return false
 		}
-		if len(j.pending) > 0 {
-			kept = append(kept, j)
+		if n := b.reserve(j, left); n > 0 {
+			next = append(next, pick{job: j, pieces: n})
+			left -= n
 		}
+		return true
+	})
+	for _, p := range next {
+		b.take(p.job, p.pieces)
 	}
-	clear(q.jobs[len(kept):])
-	q.jobs = kept
-	q.waiting -= len(out)
-	return out
+	q.fair.earn(len(b.pieces))
+	return b.pieces
+}
+
+// pick is a job of which a number of pieces go into a batch.
+type pick struct {
+	job    *Job
+	pieces int
+}
+
+// batch is a batch that is being filled.
+type batch struct {
+	queue    *Queue
+	now      time.Time
+	upstream Upstream
+	// size is the number of pieces to fill the batch with.
+	size int
+	// free is the memory that is left for results.
+	free int64
+	// extra is how much longer the call takes than on the fastest upstream.
+	extra  time.Duration
+	pieces []Piece
+}
+
+// reserve returns how many pieces of a job may go into the batch, at most limit, and
+// reserves memory for their results.
+func (b *batch) reserve(j *Job, limit int) int {
+	if j.inOtherZone(b.upstream.Zone) && b.now.Sub(j.Arrived) < j.zoneWait() {
+		return 0
+	}
+	typical := b.queue.lanes.callTime
+	if b.upstream.Slowness >= slowThreshold && !j.late(b.now, typical) && j.late(b.now, typical+b.extra) {
+		return 0
+	}
+	n := min(limit, len(j.pending), j.resultsThatFit(b.free))
+	b.free -= int64(n) * j.ResultBytes
+	return n
+}
+
+// take moves n pieces of a job from the queue into the batch.
+func (b *batch) take(j *Job, n int) {
+	if n == 0 {
+		return
+	}
+	q := b.queue
+	for _, i := range j.pending[:n] {
+		b.pieces = append(b.pieces, Piece{Job: j, Index: i})
+	}
+	j.pending = j.pending[n:]
+	j.calls++
+	q.waiting -= n
+	q.fair.use(b.now, j.Account, time.Duration(n)*q.pieceWork())
+	if len(j.pending) > 0 {
+		j.lane.refresh(j)
+		return
+	}
+	q.remove(j)
+}
+
+// pieceWork returns the time that a piece takes of an upstream of normal speed under
+// load, its part of the overhead included.
+func (q *Queue) pieceWork() time.Duration {
+	return q.Duration(q.cfg.MaxBatch) / time.Duration(max(1, q.cfg.MaxBatch))
 }
 
 // inOtherZone reports whether the job belongs to a zone other than the given one.
@@ -213,30 +324,6 @@
 // divided by it before they are spread over several upstreams.
 const spreadDivisor = 4
 
-func (q *Queue) sort(now time.Time) {
-	typical := q.cfg.TypicalDuration()
-	slices.SortStableFunc(q.jobs, func(a, b *Job) int { return compare(now, a, b, typical) })
-}
-
-// compare orders jobs: those on time before late ones, then by rank. Within a rank,
-// jobs on time are ordered by slack and late jobs by arrival.
-func compare(now time.Time, a, b *Job, typical time.Duration) int {
-	late := a.late(now, typical)
-	switch {
-	case late != b.late(now, typical):
-		if late {
-			return 1
-		}
-		return -1
-	case a.Rank != b.Rank:
-		return cmp.Compare(a.Rank, b.Rank)
-	case late:
-		return a.Arrived.Compare(b.Arrived)
-	default:
-		return cmp.Compare(a.slack(now, typical), b.slack(now, typical))
-	}
-}
-
 // late reports whether the job can no longer meet its objective, given the time of
 // a call.
 func (j *Job) late(now time.Time, callTime time.Duration) bool { return j.slack(now, callTime) < 0 }
@@ -257,39 +344,42 @@
 }
 
 // Requeue puts back a piece that was part of a batch and got no result.
-func (q *Queue) Requeue(p Piece) {
-	if len(p.Job.pending) == 0 {
-		q.jobs = append(q.jobs, p.Job)
-	}
-	p.Job.pending = append(p.Job.pending, p.Index)
+func (q *Queue) Requeue(now time.Time, p Piece) {
+	j := p.Job
+	queued := len(j.pending) > 0
+	j.pending = append(j.pending, p.Index)
 	q.waiting++
+	if queued {
+		j.lane.refresh(j)
+		return
+	}
+	q.insert(now, j)
 }
 
 // Remove removes a job and its waiting pieces.
 func (q *Queue) Remove(j *Job) {
-	q.jobs = slices.DeleteFunc(q.jobs, func(other *Job) bool {
-		if other != j {
-			return false
-		}
+	if j.lane != nil {
+		q.remove(j)
 		q.waiting -= len(j.pending)
-		return true
-	})
+	}
 	j.pending = nil
 }
 
 // RemoveInfeasible removes and returns the jobs that can't be completed before
 // their deadline, given the jobs that are served before them.
 func (q *Queue) RemoveInfeasible(now time.Time, upstreams float64) []*Job {
-	q.sort(now)
+	q.updateShares(now, upstreams)
+	q.lanes.advance(now)
 	var out []*Job
 	ahead := 0
-	for _, j := range q.jobs {
+	q.lanes.walk(func(j *Job) bool {
 		if q.timeToResponse(j, ahead, upstreams) > j.Deadline.Sub(now) {
 			out = append(out, j)
-			continue
+		} else {
+			ahead += len(j.pending)
 		}
-		ahead += len(j.pending)
-	}
+		return true
+	})
 	for _, j := range out {
 		q.Remove(j)
 	}
@@ -301,7 +391,7 @@
 func (q *Queue) timeToResponse(j *Job, ahead int, upstreams float64) time.Duration {
 	wait := time.Duration(0)
 	if upstreams > 0 {
-		wait = time.Duration(float64(ahead) / q.rate(upstreams) * float64(time.Second))
+		wait = q.wait(ahead, upstreams)
 	}
 	return wait + q.Duration(min(len(j.pending), q.cfg.MaxBatch)) + j.Remaining
 }
--- a/internal/serve/batching/queue_test.go
+++ b/internal/serve/batching/queue_test.go
@@ -74,7 +74,7 @@
 	a := newJob("a", 2, 0, time.Second)
 	q.Push(a)
 	batch := q.NextBatch(t0, Upstream{IdleCount: 1, FreeBytes: unlimited})
-	q.Requeue(batch[0])
+	q.Requeue(t0, batch[0])
 	if got, want := q.Waiting(), 1; got != want {
 		t.Fatalf("%d pieces wait after a requeue, want %d", got, want)
 	}
--- /dev/null
+++ b/internal/serve/batching/sharing.go
@@ -0,0 +1,102 @@
+package batching
+
+import (
+	"time"
+
+	"hawthornhub.example/hawthornhub/internal/serve/fairshare"
+)
+
+const (
+	// agedShare is the fraction of the pieces that aged jobs may take before all others
+	// while capacity is scarce. Most aged jobs miss their objective anyway, so a larger
+	// fraction would make others late without being of use.
+	agedShare = 1.0 / 16
+	// maxReported is the number of accounts over their share that a Backlog names. The
+	// others count as below their share at admission, and only there.
+	maxReported = 64
+)
+
+// sharing holds what a queue needs to share scarce capacity between accounts.
+type sharing struct {
+	on    bool
+	meter *fairshare.Meter
+	// byAge holds the jobs in the order in which they become aged.
+	byAge tree
+	// credit is the number of pieces that aged jobs may take now.
+	credit float64
+}
+
+func newSharing(on bool) sharing { return sharing{on: on, meter: fairshare.NewMeter()} }
+
+// Ask records that an account asks for a number of pieces, whether they are admitted
+// or not. Nothing else tells the queue what an account asks for.
+func (q *Queue) Ask(now time.Time, account string, pieces int) {
+	if q.fair.on {
+		q.fair.meter.Ask(now, account, time.Duration(pieces)*q.pieceWork())
+	}
+}
+
+// Usages returns what accounts use at most, see fairshare.Meter.
+func (q *Queue) Usages(now time.Time, limit int) []fairshare.Usage {
+	return q.fair.meter.Usages(now, limit)
+}
+
+// updateShares recomputes the shares for a capacity in upstreams of normal speed.
+func (q *Queue) updateShares(now time.Time, upstreams float64) {
+	if q.fair.on {
+		queued := upstreams > 0 && q.wait(q.waiting, upstreams) > q.lanes.callTime
+		q.fair.meter.Update(now, upstreams, queued)
+	}
+}
+
+func (s *sharing) over(now time.Time) map[string]fairshare.Standing {
+	if !s.on || !s.meter.Scarce() {
+		return nil
+	}
+	return s.meter.Over(now, maxReported)
+}
+
+// ageKey returns the key of a job in byAge. A job is aged once it has waited for half of
+// the time that its caller gives it.
+func ageKey(j *Job) orderKey {
+	return keyOf(j.Arrived.Add(j.Deadline.Sub(j.Arrived)/2), j.seq)
+}
+
+func (s *sharing) insert(j *Job) {
+	if s.on {
+		s.byAge.insert(ageKey(j), j)
+	}
+}
+
+func (s *sharing) remove(j *Job) {
+	if s.on {
+		s.byAge.remove(ageKey(j))
+	}
+}
+
+func (s *sharing) use(now time.Time, account string, work time.Duration) {
+	if s.on {
+		s.meter.Use(now, account, work)
+	}
+}
+
+// earn adds the credit for pieces that have been dispatched. What nobody used does not
+// add up beyond a piece, so that aged jobs never fill a batch.
+func (s *sharing) earn(pieces int) {
+	if s.on {
+		s.credit = min(s.credit+agedShare*float64(pieces), 1+agedShare*float64(pieces))
+	}
+}
+
+// aged offers the jobs that are aged, the longest aged first, to take, which returns how
+// many pieces it took, at most limit.
+func (s *sharing) aged(now time.Time, take func(j *Job, limit int) int) {
+	if !s.on || !s.meter.Scarce() {
+		return
+	}
+	for n := s.byAge.first; n != nil && s.credit >= 1 && n.key.at <= now.UnixNano(); {
+		key := n.key
+		s.credit -= float64(take(n.job, int(s.credit)))
+		n = s.byAge.after(key)
+	}
+}
