serve/fairshare: decay all sums together

An update of the shares took 90 us with 400 accounts, most of it for the exponential function of each sum. New work is now weighted by its time instead.

--- a/internal/serve/batching/queue.go
+++ b/internal/serve/batching/queue.go
@@ -108,7 +108,7 @@
 	q.updateShares(now, upstreams)
 	q.lanes.advance(now)
 	scarce := q.fair.meter.Scarce()
-	out := Backlog{Total: q.wait(q.waiting, upstreams), Over: q.fair.over(now)}
+	out := Backlog{Total: q.wait(q.waiting, upstreams), Over: q.fair.over()}
 	urgent := 0
 	for _, r := range q.lanes.ranks {
 		onTimePieces := 0
--- a/internal/serve/batching/sharing.go
+++ b/internal/serve/batching/sharing.go
@@ -49,11 +49,11 @@
 	}
 }
 
-func (s *sharing) over(now time.Time) map[string]fairshare.Standing {
+func (s *sharing) over() map[string]fairshare.Standing {
 	if !s.on || !s.meter.Scarce() {
 		return nil
 	}
-	return s.meter.Over(now, maxReported)
+	return s.meter.Over(maxReported)
 }
 
 // ageKey returns the key of a job in byAge. A job is aged once it has waited for half of
--- a/internal/serve/fairshare/meter.go
+++ b/internal/serve/fairshare/meter.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -19,8 +18,8 @@
 	// minCapacity is the fraction of the nominal capacity that is shared at least. It
 	// bounds the error while the measured work is still that of an idle time.
 	minCapacity = 0.5
-	// negligible is the work in seconds below which an account is forgotten.
-	negligible = 1e-4
+	// negligible is the work per second, in upstreams, below which an account is forgotten.
+	negligible = 1e-5
 )
 
 // Standing is the position of an account towards its share. Work of a lower standing is
@@ -53,74 +52,81 @@
 	}
 }
 
-// work is an exponentially decaying sum of work in seconds.
-type work struct {
-	amount  float64
-	updated time.Time
+// account is what a Meter knows of one account. asked and used are decaying sums of work
+// in seconds, multiplied by Meter.growth.
+type account struct {
+	name        string
+	asked, used float64
+	standing    Standing
 }
 
-// at returns the sum at now.
-func (w work) at(now time.Time) float64 {
-	elapsed := now.Sub(w.updated)
-	if w.amount == 0 || elapsed <= 0 {
-		return w.amount
-	}
-	return w.amount * math.Exp(-elapsed.Seconds()/usageWindow.Seconds())
-}
-
-func (w *work) add(now time.Time, d time.Duration) {
-	amount := w.at(now) + d.Seconds()
-	if now.After(w.updated) {
-		w.updated = now
-	}
-	w.amount = amount
-}
-
-// account is what a Meter knows of one account.
-type account struct{ asked, used work }
-
 // Meter measures the work of the accounts at one service. It is not safe for concurrent
 // use.
 type Meter struct {
-	accounts map[string]*account
-	used     work
-	updated  time.Time
+	byName   map[string]*account
+	accounts []*account
+	// used is the sum for all accounts.
+	used float64
+	// epoch is the time at which growth was 1.
+	epoch   time.Time
+	updated time.Time
 	// level is the share of each account in upstreams, +Inf if the capacity suffices.
 	level   float64
 	demands []float64
-	// standings holds the accounts that are not Below.
-	standings map[string]Standing
-	version   uint64
+	version uint64
 }
 
+// NewMeter returns a Meter that has measured nothing.
+func NewMeter() *Meter { return &Meter{byName: make(map[string]*account), level: math.Inf(1)} }
+
 // Version changes whenever a standing may have changed.
 func (m *Meter) Version() uint64 { return m.version }
 
-// NewMeter returns a Meter that has measured nothing.
-func NewMeter() *Meter {
-	return &Meter{accounts: make(map[string]*account), standings: make(map[string]Standing), level: math.Inf(1)}
-}
-
 func (m *Meter) account(name string) *account {
-	a := m.accounts[name]
+	a := m.byName[name]
 	if a == nil {
-		a = &account{}
-		m.accounts[name] = a
+		a = &account{name: name}
+		m.byName[name] = a
+		m.accounts = append(m.accounts, a)
 	}
 	return a
 }
 
+// growth returns the factor by which work at now counts more than work at epoch. All sums
+// decay in the same way, so that new work is multiplied when it is added instead of all
+// older work being divided all the time.
+func (m *Meter) growth(now time.Time) float64 {
+	exponent := now.Sub(m.epoch).Seconds() / usageWindow.Seconds()
+	if m.epoch.IsZero() || exponent > maxExponent {
+		factor := math.Exp(-exponent)
+		for _, a := range m.accounts {
+			a.asked *= factor
+			a.used *= factor
+		}
+		m.used *= factor
+		m.epoch = now
+		return 1
+	}
+	return math.Exp(exponent)
+}
+
+// maxExponent keeps sums far from the largest float64.
+const maxExponent = 100
+
 // Ask records that an account asks for work, whether it is accepted or not.
-func (m *Meter) Ask(now time.Time, name string, d time.Duration) { m.account(name).asked.add(now, d) }
+func (m *Meter) Ask(now time.Time, name string, d time.Duration) {
+	m.account(name).asked += m.growth(now) * d.Seconds()
+}
 
 // Use records that work of an account starts.
 func (m *Meter) Use(now time.Time, name string, d time.Duration) {
-	m.account(name).used.add(now, d)
-	m.used.add(now, d)
+	amount := m.growth(now) * d.Seconds()
+	m.account(name).used += amount
+	m.used += amount
 }
 
-// rate returns the average work per second that corresponds to a decaying sum.
-func rate(sum float64) float64 { return sum / usageWindow.Seconds() }
+// perSecond returns the factor from a sum to the work per second at now.
+func (m *Meter) perSecond(now time.Time) float64 { return 1 / m.growth(now) / usageWindow.Seconds() }
 
 // Update recomputes the shares, unless that was done within updateInterval. nominal is
 // the capacity of the usable upstreams. queued is set if work waits for longer than the
@@ -131,56 +137,73 @@
 		return
 	}
 	m.updated = now
-	capacity := max(rate(m.used.at(now)), nominal)
+	factor := m.perSecond(now)
 	if queued {
-		capacity = max(rate(m.used.at(now)), minCapacity*nominal)
+		nominal *= minCapacity
 	}
+	m.forgetIdle(factor)
 	m.demands = m.demands[:0]
-	for name, a := range m.accounts {
-		asked := a.asked.at(now)
-		if asked < negligible && a.used.at(now) < negligible {
-			delete(m.accounts, name)
-			continue
-		}
-		m.demands = append(m.demands, rate(asked))
-	}
-	m.level = Level(m.demands, capacity)
-	if len(m.standings) > 0 || m.Scarce() {
-		m.version++
+	for _, a := range m.accounts {
+		m.demands = append(m.demands, factor*a.asked)
 	}
-	clear(m.standings)
-	if !m.Scarce() {
-		return
-	}
-	for name, a := range m.accounts {
+	m.level = Level(m.demands, max(factor*m.used, nominal))
+	for i, a := range m.accounts {
+		standing := Below
 		switch {
-		case rate(a.asked.at(now)) <= m.level:
-		case rate(a.used.at(now)) < m.level:
-			m.standings[name] = Unmet
+		case m.demands[i] <= m.level:
+		case factor*a.used < m.level:
+			standing = Unmet
 		default:
-			m.standings[name] = Above
+			standing = Above
+		}
+		if standing != a.standing {
+			a.standing = standing
+			m.version++
 		}
 	}
 }
 
+// forgetIdle forgets the accounts of which no work is left.
+func (m *Meter) forgetIdle(factor float64) {
+	m.accounts = slices.DeleteFunc(m.accounts, func(a *account) bool {
+		idle := factor*max(a.asked, a.used) < negligible
+		if idle {
+			delete(m.byName, a.name)
+			if a.standing != Below {
+				m.version++
+			}
+		}
+		return idle
+	})
+}
+
 // Scarce reports whether the accounts ask for more than the capacity.
 func (m *Meter) Scarce() bool { return !math.IsInf(m.level, 1) }
 
 // Standing returns the standing of an account.
-func (m *Meter) Standing(name string) Standing { return m.standings[name] }
+func (m *Meter) Standing(name string) Standing {
+	if a := m.byName[name]; a != nil {
+		return a.standing
+	}
+	return Below
+}
 
 // Over returns the accounts that ask for more than their share with their standing, at
 // most limit, those that ask for most.
-func (m *Meter) Over(now time.Time, limit int) map[string]Standing {
-	if len(m.standings) <= limit {
-		return maps.Clone(m.standings)
+func (m *Meter) Over(limit int) map[string]Standing {
+	var over []*account
+	for _, a := range m.accounts {
+		if a.standing != Below {
+			over = append(over, a)
+		}
 	}
-	names := slices.SortedFunc(maps.Keys(m.standings), func(a, b string) int {
-		return -cmp.Compare(m.accounts[a].asked.at(now), m.accounts[b].asked.at(now))
-	})
-	out := make(map[string]Standing, limit)
-	for _, name := range names[:limit] {
-		out[name] = m.standings[name]
+	if len(over) > limit {
+		slices.SortFunc(over, func(a, b *account) int { return -cmp.Compare(a.asked, b.asked) })
+		over = over[:limit]
+	}
+	out := make(map[string]Standing, len(over))
+	for _, a := range over {
+		out[a.name] = a.standing
 	}
 	return out
 }
@@ -198,9 +221,10 @@
 
 // Usages returns the usage of at most limit accounts, those that ask for most first.
 func (m *Meter) Usages(now time.Time, limit int) []Usage {
+	factor := m.perSecond(now)
 	out := make([]Usage, 0, len(m.accounts))
-	for name, a := range m.accounts {
-		u := Usage{Account: name, Asked: rate(a.asked.at(now)), Used: rate(a.used.at(now)), Standing: m.Standing(name)}
+	for _, a := range m.accounts {
+		u := Usage{Account: a.name, Asked: factor * a.asked, Used: factor * a.used, Standing: a.standing}
 		u.Share = min(u.Asked, m.level)
 		if m.Scarce() {
 			u.Borrowed = max(0, u.Used-u.Share)
