serve/fairshare, serve/pace, api/gateway: admission by the share of the account

The gateway held and refused requests by the backlog of all accounts. It now uses the wait that the owner reports for the standing of the account, and reports to the owners what accounts ask for, refused requests included. A request that arrives in the second after a Retry-After of its account and route ended starts without the margins that newcomers need.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -124,6 +124,7 @@
 		QueueWait:      g.batchRouter.QueueWait,
 		Fair:           g.sharesByAccount,
 		Asked:          g.batchRouter.Asked,
+		Standing:       g.batchRouter.Standing,
 		ResultZone:     g.resultZone,
 		Breakers:       g.breakers,
 		Balancer:       g.balancer,
--- a/internal/api/gateway/admission.go
+++ b/internal/api/gateway/admission.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"hawthornhub.example/hawthornhub/internal/dispatch/batcher"
 	"hawthornhub.example/hawthornhub/internal/serve/pace"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
@@ -20,22 +19,6 @@
 	return left
 }
 
-// recordAsked records what the account of the request asks for, so that the owners of the
-// services know it also of requests that are refused here.
-func (q *request) recordAsked() {
-	if !q.server.fair() {
-		return
-	}
-	for i, stage := range q.route.Stages {
-		if n := q.pieceCount(i); n > 0 {
-			q.server.cfg.Asked(batcher.Job{RequestID: q.ID, Service: stage.Service, Pieces: n, Zone: q.stageZone(), Account: q.account})
-		}
-	}
-}
-
-// fair reports whether scarce capacity is shared between accounts.
-func (s *Server) fair() bool { return s.cfg.Fair != nil && s.cfg.Fair() }
-
 // awaitAdmission delays a request before its first stage while it would miss
 // its latency objective and only delay other requests.
 func (q *request) awaitAdmission(ctx context.Context) *failure {
@@ -49,6 +32,7 @@
 			UntilObjective: time.Until(q.start.Add(q.route.Objective)),
 			UntilDeadline:  q.timeToAbandon(),
 			Rank:           q.rank.RoutePriority(),
+			Returned:       q.returned,
 		}
 		switch d := pace.Decide(r).(type) {
 		case pace.Start:
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -33,6 +33,8 @@
 	route    *site.Route
 	account  string
 	rank     site.Rank
+	// returned is set if the request is taken for the return of one that was refused.
+	returned bool
 
 	service *site.Service
 	// zone caches the result of stageZone.
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -20,6 +20,7 @@
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
 	"hawthornhub.example/hawthornhub/internal/serve/budget"
 	"hawthornhub.example/hawthornhub/internal/serve/eligible"
+	"hawthornhub.example/hawthornhub/internal/serve/fairshare"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
@@ -58,6 +59,9 @@
 	// Asked records that an account asks for the pieces of a stage. It is called for each
 	// stage of each request while Fair holds.
 	Asked func(job batcher.Job)
+	// Standing returns the standing of an account at a service that prefers an
+	// availability zone.
+	Standing func(service, zone, account string) fairshare.Standing
 	// ResultZone returns the availability zone of the upstream that holds a
 	// result, empty if it is not known.
 	ResultZone func(handle string) string
@@ -114,7 +118,8 @@
 	stopAt   atomic.Value
 	inFlight atomic.Int64
 	// held is what answers hold before it can be forwarded.
-	held heldMemory
+	held    heldMemory
+	sharing sharing
 }
 
 // configurationWait is how long a request waits for the first site document. A
@@ -125,7 +130,7 @@
 // NewServer returns a Server that serves nothing until Configure is called: requests
 // wait for configurationWait and are then answered with 503.
 func NewServer(cfg Config) *Server {
-	s := &Server{cfg: cfg, drainStarted: make(chan struct{}), configured: make(chan struct{})}
+	s := &Server{cfg: cfg, drainStarted: make(chan struct{}), configured: make(chan struct{}), sharing: newSharing()}
 	s.held.limit = cfg.HeldBytes
 	if cfg.HeldBytes == 0 {
 		s.held.limit = defaultHeldBytes
@@ -361,6 +366,7 @@
 	if q.mayHaveRun && f.status == http.StatusServiceUnavailable {
 		f = &failure{status: http.StatusBadGateway, reason: f.reason, segment: f.segment, err: f.err}
 	}
+	f = s.shareRefusal(q, f)
 	s.cfg.Metrics.Tagged(map[string]string{"status": strconv.Itoa(f.status)}).Counter("refused").Inc(1)
 	if f.segment != "" {
 		s.cfg.Metrics.Counter("prompts_blocked").Inc(1)
--- a/internal/dispatch/batcher/router.go
+++ b/internal/dispatch/batcher/router.go
@@ -12,6 +12,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/fleet/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/serve/batching"
+	"hawthornhub.example/hawthornhub/internal/serve/fairshare"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
@@ -119,6 +120,19 @@
 	return decayed(onTime), decayed(total)
 }
 
+// Standing returns the standing of an account at a service that prefers a zone, as its owner
+// last reported it.
+func (r *Router) Standing(service, zone, account string) fairshare.Standing {
+	s := shardOf(Job{Service: service, Zone: zone}, r.upstreams(service))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.backlogs[s]
+	if time.Since(b.at) > backlogLifetime {
+		return fairshare.Below
+	}
+	return b.waits.Over[account]
+}
+
 // Asked records that the account of a job asks for its pieces. It is called once for each
 // stage of a request when the request arrives, whether the request is served or not. What
 // it records goes to the owner with the next job.
--- a/internal/serve/pace/pace.go
+++ b/internal/serve/pace/pace.go
@@ -30,6 +30,9 @@
 	// Rank is the priority among requests in the same queue; 0 is the most
 	// urgent.
 	Rank int
+	// Returned is set for a caller that was refused before and has come back on time. It
+	// starts without the margins that newcomers need, at queues that keep them out.
+	Returned bool
 }
 
 // Decision is the result of Decide: Start, Hold or Refuse.
@@ -50,7 +53,11 @@
 
 // Decide decides whether a request starts now, is held or is refused.
 func Decide(r Request) Decision {
-	need := time.Duration(float64(r.Work+r.Wait) * (onTimeMargin + marginPerRank*float64(max(0, r.Rank))))
+	margin := onTimeMargin + marginPerRank*float64(max(0, r.Rank))
+	if r.Returned {
+		margin = 1
+	}
+	need := time.Duration(float64(r.Work+r.Wait) * margin)
 	if need <= r.UntilObjective || r.TotalWait <= shortWait && r.Work+r.TotalWait <= r.UntilDeadline {
 		return Start{}
 	}
--- a/internal/serve/pace/pace_test.go
+++ b/internal/serve/pace/pace_test.go
@@ -21,6 +21,8 @@
 		{"on time ahead of less urgent requests", Request{Work: ms(1000), Wait: ms(100), TotalWait: ms(1500), UntilObjective: ms(2000), UntilDeadline: ms(8000)}, Start{}},
 		{"late behind less urgent requests", Request{Work: ms(1000), Wait: ms(100), TotalWait: ms(1500), UntilObjective: ms(-500), UntilDeadline: ms(8000)}, Hold{For: recheckInterval}},
 		{"late with short queues", Request{Work: ms(1000), Wait: ms(100), TotalWait: ms(100), UntilObjective: ms(-500), UntilDeadline: ms(4000)}, Start{}},
+		{"returned on time, behind a queue that holds newcomers", Request{Work: ms(1000), Wait: ms(900), TotalWait: ms(900), UntilObjective: ms(2000), UntilDeadline: ms(8000), Rank: 2, Returned: true}, Start{}},
+		{"returned on time, but late", Request{Work: ms(1000), Wait: ms(1100), TotalWait: ms(1100), UntilObjective: ms(2000), UntilDeadline: ms(8000), Returned: true}, Hold{For: recheckInterval}},
 		{"end after the deadline", Request{Work: ms(1000), Wait: ms(1500), TotalWait: ms(1500), UntilObjective: ms(-500), UntilDeadline: ms(2000)}, Refuse{RetryAfter: ms(1500)}},
 		{"deadline too close even with empty queues", Request{Work: ms(1000), UntilObjective: ms(-500), UntilDeadline: ms(500)}, Refuse{}},
 	}
