api/gateway, dispatch/batcher, cmd: usage and refusals by account in metrics, logs and /status

An operator could not see which account asks for more than its share. Gauges and log lines name the accounts that ask for most, a counter and a log line each refusal with its cause, and /status of a gateway lists both. The number of names is bounded.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -79,6 +79,7 @@
 	// readyHTTP serves the readiness check of the load balancer.
 	readyHTTP *http.Server
 	draining  atomic.Bool
+	accounts  accountMetrics
 }
 
 func runGateway(file string) error {
@@ -87,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	g := &gatewayProcess{siteProcess: p}
+	g := &gatewayProcess{siteProcess: p, accounts: newAccountMetrics()}
 	if err := g.start(); err != nil {
 		return err
 	}
@@ -155,6 +156,7 @@
 		Log: g.log,
 	}))
 	g.startGauges(g.updateGauges)
+	g.health.SetStatus(g.writeStatus)
 	g.callerHTTP = &http.Server{Handler: g.server, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxRequestHeaderBytes}
 	g.readyHTTP = &http.Server{Handler: platform.ReadyMux(g.checkReady)}
 	return errors.Join(g.serveHealth(g.checkReady), g.serveOn(s.Listen.Ready, g.readyHTTP), g.serveOn(s.Listen.Callers, g.callerHTTP))
@@ -394,6 +396,7 @@
 	scope.Gauge("news_received_bytes").Update(float64(received.Bytes))
 	scope.Gauge("documents_received").Update(float64(received.Documents))
 	scope.Gauge("document_received_bytes").Update(float64(received.DocumentBytes))
+	g.updateAccounts(scope)
 	halfOpen, open := g.breakers.Counts()
 	scope.Gauge("breakers_half_open").Update(float64(halfOpen))
 	scope.Gauge("breakers_open").Update(float64(open))
--- a/internal/api/gateway/admission.go
+++ b/internal/api/gateway/admission.go
@@ -34,6 +34,11 @@
 			Rank:           q.rank.RoutePriority(),
 			Returned:       q.returned,
 		}
+		if q.server.fair() {
+			// A response that comes when the caller has given up is of no use, whatever
+			// the objective of the route.
+			r.UntilObjective = min(r.UntilObjective, r.UntilDeadline)
+		}
 		switch d := pace.Decide(r).(type) {
 		case pace.Start:
 			if held {
--- a/internal/api/health/doc.go
+++ b/internal/api/health/doc.go
@@ -1,6 +1,6 @@
 // Package health serves the HTTP endpoints by which a process is monitored:
-// liveness on /healthz, readiness on /readyz, and metrics on /metrics in the
-// Prometheus text format.
+// liveness on /healthz, readiness on /readyz, metrics on /metrics in the Prometheus
+// text format, and a status as plain text on /status if the process has one.
 //
 // # Usage
 //
--- a/internal/api/health/health.go
+++ b/internal/api/health/health.go
@@ -33,6 +33,8 @@
 	mu       sync.Mutex
 	// ready returns nil if the process is ready.
 	ready func() error
+	// status writes the status of the process.
+	status func(io.Writer)
 }
 
 // New returns a Health that is not ready until SetReady is called.
@@ -68,10 +70,18 @@
 	h.ready = check
 }
 
+// SetStatus sets what /status answers.
+func (h *Health) SetStatus(write func(io.Writer)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.status = write
+}
+
 // Routes registers the endpoints on mux.
 func (h *Health) Routes(mux *http.ServeMux) {
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
 	mux.HandleFunc("GET /readyz", h.readyz)
+	mux.HandleFunc("GET /status", h.writeStatus)
 	mux.Handle("GET /metrics", h.reporter.HTTPHandler())
 }
 
@@ -86,5 +96,16 @@
 	fmt.Fprintln(w, "ready")
 }
 
+func (h *Health) writeStatus(w http.ResponseWriter, _ *http.Request) {
+	h.mu.Lock()
+	write := h.status
+	h.mu.Unlock()
+	if write == nil {
+		http.Error(w, "this process has no status beyond its metrics; see /metrics", http.StatusNotFound)
+		return
+	}
+	write(w)
+}
+
 // Close updates the metrics a last time and stops further updates.
 func (h *Health) Close() error { return h.closer.Close() }
--- a/internal/dispatch/batcher/batcher_test.go
+++ b/internal/dispatch/batcher/batcher_test.go
@@ -401,6 +401,7 @@
 	for name, spoil := range map[string]func(*Job){
 		"request ID": func(j *Job) { j.RequestID = "caf\xe9" },
 		"key":        func(j *Job) { j.Key = "caf\xe9" },
+		"account":    func(j *Job) { j.Account = "caf\xe9" },
 	} {
 		t.Run(name, func(t *testing.T) {
 			u, unused := newFakeUpstream(t), newFakeUpstream(t)
--- a/internal/dispatch/batcher/owner.go
+++ b/internal/dispatch/batcher/owner.go
@@ -72,6 +72,9 @@
 	timer     *time.Timer
 	// resultMemoryBytes is the memory for results at each upstream.
 	resultMemoryBytes int64
+	// sharesLogged is when the shares of accounts were last logged, zero while capacity is
+	// not scarce.
+	sharesLogged time.Time
 	// resultTTL is how long an upstream keeps a result that is not released.
 	resultTTL time.Duration
 }
@@ -191,9 +194,11 @@
 	defer d.mu.Unlock()
 	d.recordAsked(now, request)
 	capacity := d.capacity(now)
-	if retry, ok := d.queue.Admit(now, j, capacity); !ok {
+	retry, ok := d.queue.Admit(now, j, capacity)
+	d.logShares(now)
+	if !ok {
 		d.owner.cfg.Log.Info("pieces refused",
-			zap.String("request", j.RequestID), zap.String("service", d.shard.key()), zap.Int("stage", j.Stage),
+			zap.String("request", j.RequestID), zap.String("service", d.shard.key()), zap.Int("stage", j.Stage), zap.String("account", j.Account),
 			zap.Int("waiting", d.queue.Waiting()), zap.Float64("upstreams", math.Round(10*capacity)/10), zap.Duration("retry", retry))
 		return nil, &Refused{RetryAfter: retry, Backlog: d.queue.Backlog(now, capacity)}
 	}
@@ -204,18 +209,6 @@
 	return w, nil
 }
 
-// recordAsked records what accounts ask for: what the sender of a job reports or, if it
-// counts nothing, the job itself.
-func (d *dispatcher) recordAsked(now time.Time, job Job) {
-	if !job.counted {
-		d.queue.Ask(now, job.Account, job.Pieces)
-		return
-	}
-	for account, pieces := range job.asked {
-		d.queue.Ask(now, account, pieces)
-	}
-}
-
 // cancel removes a job and returns the results that it has so far.
 func (d *dispatcher) cancel(j *batching.Job) []string {
 	d.mu.Lock()
@@ -334,7 +327,7 @@
 	backlog := d.queue.Backlog(now, capacity)
 	for _, j := range infeasible {
 		d.owner.cfg.Log.Info("queued job refused: deadline can no longer be met",
-			zap.String("request", j.RequestID), zap.String("service", d.shard.key()), zap.Int("stage", j.Stage), zap.Int("rank", int(j.Rank)),
+			zap.String("request", j.RequestID), zap.String("service", d.shard.key()), zap.Int("stage", j.Stage), zap.Int("rank", int(j.Rank)), zap.String("account", j.Account),
 			zap.Duration("waited", now.Sub(j.Arrived)), zap.Duration("left", j.Deadline.Sub(now)), zap.Duration("backlog", backlog.For(j.Rank)), zap.Duration("backlog_last", backlog.Total))
 		completed := j.Completed()
 		d.complete(j, Refused{RetryAfter: backlog.Total, Backlog: backlog})
--- a/internal/dispatch/batcher/router.go
+++ b/internal/dispatch/batcher/router.go
@@ -148,8 +148,12 @@
 
 // Asked records that the account of a job asks for its pieces. It is called once for each
 // stage of a request when the request arrives, whether the request is served or not. What
-// it records goes to the owner with the next job.
+// it records goes to the owner with the next job. A job that cannot be encoded is left out,
+// as it would make all others fail with it.
 func (r *Router) Asked(job Job) {
+	if job.Validate() != nil {
+		return
+	}
 	s := shardOf(job, r.upstreams(job.Service))
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/operator/settings/site_test.go
+++ b/internal/operator/settings/site_test.go
@@ -23,6 +23,18 @@
 	}
 }
 
+// Guards against sharing by account where the settings do not ask for it.
+func TestSharingByAccountIsOffByDefault(t *testing.T) {
+	for text, want := range map[string]bool{"": false, "[fair]\n": false, "[fair]\naccounts = false\n": false, "[fair]\naccounts = true\n": true} {
+		if s, _ := DecodeSite([]byte(text), RoleGateway); s.Fair.Accounts != want {
+			t.Errorf("%q: sharing by account is %t, want %t", text, s.Fair.Accounts, want)
+		}
+	}
+	if _, violations := DecodeSite([]byte("[fair]\naccounts = 1\n"), RoleGateway); len(violations) != 1 || !strings.Contains(violations[0], "SiteFair.Accounts") {
+		t.Errorf("a number in fair.accounts: got %v, want one violation that names the field", violations)
+	}
+}
+
 func TestSiteViolationsNameFieldAndRemedy(t *testing.T) {
 	for role, wants := range map[Role][]string{
 		RoleGateway:  {"name: missing", "zone: missing", "fleet_key_file: missing", "seeds: missing", "control_port: missing", "listen.link", "listen.callers", "listen.ready"},
--- a/internal/serve/batching/sharing.go
+++ b/internal/serve/batching/sharing.go
@@ -37,6 +37,9 @@
 	}
 }
 
+// Scarce reports whether the accounts ask for more than the capacity.
+func (q *Queue) Scarce() bool { return q.fair.meter.Scarce() }
+
 // Usages returns what accounts use at most, see fairshare.Meter.
 func (q *Queue) Usages(now time.Time, limit int) []fairshare.Usage {
 	return q.fair.meter.Usages(now, limit)
