--- a/internal/serve/batching/lanes.go
+++ b/internal/serve/batching/lanes.go
@@ -39,6 +39,8 @@
 type rankLanes struct {
 	rank   site.Rank
 	groups [fairshare.Standings][kinds]laneHeap
+	// jobs holds the jobs of all lanes, to count pieces without looking at each lane.
+	jobs [kinds]tree
 	// lanes is the number of lanes.
 	lanes int
 }
@@ -119,17 +121,20 @@
 
 func (l *lane) insert(j *Job) {
 	l.trees[j.kind].insert(j.key(), j)
+	l.rank.jobs[j.kind].insert(j.key(), j)
 	l.settle(j.kind)
 }
 
 func (l *lane) remove(j *Job) {
 	l.trees[j.kind].remove(j.key())
+	l.rank.jobs[j.kind].remove(j.key())
 	l.settle(j.kind)
 }
 
 // refresh takes note that the number of waiting pieces of the job has changed.
 func (l *lane) refresh(j *Job) {
 	l.trees[j.kind].refresh(j.key())
+	l.rank.jobs[j.kind].refresh(j.key())
 	l.settle(j.kind)
 }
 
@@ -286,7 +291,7 @@
 // ahead returns the number of pieces of this rank that are served before a job of the same
 // rank.
 func (r *rankLanes) ahead(j *Job, standing fairshare.Standing, last, scarce bool) int {
-	sum := r.groups[standing][j.kind].piecesBefore(j.kind, j.key())
+	sum := r.piecesBefore(j, standing)
 	if last {
 		sum += r.urgent(scarce)
 	}
@@ -303,3 +308,24 @@
 	}
 	return sum
 }
+
+// piecesBefore returns the number of pieces of the jobs of the same kind and standing in
+// front of a job. It looks at the lanes with that standing or at those with another one,
+// whichever are fewer.
+func (r *rankLanes) piecesBefore(j *Job, standing fairshare.Standing) int {
+	own := &r.groups[standing][j.kind]
+	others := -len(own.entries)
+	for s := range r.groups {
+		others += len(r.groups[s][j.kind].entries)
+	}
+	if len(own.entries) <= others {
+		return own.piecesBefore(j.kind, j.key())
+	}
+	sum := r.jobs[j.kind].piecesBefore(j.key())
+	for s := range fairshare.Standing(fairshare.Standings) {
+		if s != standing {
+			sum -= r.groups[s][j.kind].piecesBefore(j.kind, j.key())
+		}
+	}
+	return sum
+}
