docs, serve/batching: fair sharing between accounts

A test reports what cannot be encoded also as asked for, which would have made all other jobs of an entry fail.

--- a/internal/dispatch/batcher/batcher_test.go
+++ b/internal/dispatch/batcher/batcher_test.go
@@ -409,6 +409,7 @@
 			r := newRouter(t, newOwner(t, 1<<40, unused), "self", func() []string { return []string{p.server.Address()} })
 			spoiled := newJob("r1", 2)
 			spoil(&spoiled)
+			r.Asked(spoiled)
 			var invalid *InvalidJobError
 			if got, ok := r.Do(context.Background(), spoiled).(Failed); !ok || !errors.As(got.Err, &invalid) {
 				t.Errorf("got %+v, want Failed with an *InvalidJobError", got)
--- a/internal/serve/batching/crowd_test.go
+++ b/internal/serve/batching/crowd_test.go
@@ -2,10 +2,11 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"hawthornhub.example/hawthornhub/internal/serve/fairshare"
 )
 
 // crowdWeights are the shares of 16 accounts in the load, in percent: the largest asks for
@@ -155,23 +156,7 @@
 	for i, w := range crowdWeights {
 		demands[i] = float64(w)
 	}
-	return levelOf(demands, 100/load)
-}
-
-func levelOf(demands []float64, capacity float64) float64 {
-	low, high := 0.0, 100.0
-	for range 60 {
-		middle, sum := (low+high)/2, 0.0
-		for _, d := range demands {
-			sum += math.Min(d, middle)
-		}
-		if sum < capacity {
-			low = middle
-		} else {
-			high = middle
-		}
-	}
-	return low
+	return fairshare.Level(demands, 100/load)
 }
 
 // The load is 1.5 times the capacity. Without sharing by account, all accounts are refused
--- a/internal/serve/batching/doc.go
+++ b/internal/serve/batching/doc.go
@@ -11,11 +11,18 @@
 // upstream is idle, it forms the next batch, giving preference to jobs that can
 // still meet their latency objective.
 //
+// If Config.Fair is set, accounts share scarce capacity: while they ask for more
+// than the upstreams do, jobs of accounts that ask for less than their share go
+// first within their rank; package fairshare decides which accounts these are.
+// Jobs that have waited for half of their time may take a small part of each batch
+// before all others, so that none starves.
+//
 // The package reads no clock and does no I/O; package batcher drives it.
 //
 // # Usage
 //
 //	q := batching.NewQueue(batching.Config{MaxBatch: 18, CallOverhead: overhead, PieceTime: pieceTime})
+//	q.Ask(now, account, pieces) // also for what is refused elsewhere
 //	if wait, ok := q.Admit(now, job, upstreams); !ok { ... } // retry after wait
 //	q.Push(job)
 //	batch := q.NextBatch(now, upstream)
