--- a/internal/serve/fairshare/meter.go
+++ b/internal/serve/fairshare/meter.go
@@ -208,7 +208,7 @@
 }
 
 // shareMargin allows for the unevenness with which an account over its share is served.
-// Without it, twice as many requests of such accounts were late in TestCrowd.
+// Without it, about 1.4 times as many requests were late in the load test.
 const shareMargin = 1.5
 
 // maxWait is returned for longer waits. No caller waits that long.
