Merge fair sharing of scarce capacity between accounts

Jobs whose inputs expire are looked for with the timer that refuses infeasible jobs rather than at each dispatch, and the learned scale of calls is rounded, since a change of it orders the queue anew.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -91,6 +91,7 @@
 	// readyHTTP serves the readiness check of the load balancer.
 	readyHTTP *http.Server
 	draining  atomic.Bool
+	accounts  accountMetrics
 }
 
 func runGateway(file string) error {
@@ -99,7 +100,7 @@
 	if err != nil {
 		return err
 	}
-	g := &gatewayProcess{siteProcess: p}
+	g := &gatewayProcess{siteProcess: p, accounts: newAccountMetrics()}
 	if err := g.start(); err != nil {
 		return err
 	}
@@ -128,6 +129,7 @@
 		Rules:     g.rules,
 		Service:   g.findService,
 		Model:     g.capacity,
+		Fair:      g.sharesByAccount,
 		Log:       g.log,
 	})
 	g.batchRouter = batcher.NewRouter(batcher.RouterConfig{Owner: g.batchOwner, Pool: g.pool, Self: s.Listen.Link, Owners: g.batchOwnerAddresses, Log: g.log})
@@ -142,6 +144,9 @@
 		RunStage:       g.batchRouter.Do,
 		ReleaseResults: g.batchRouter.Release,
 		QueueWait:      g.batchRouter.QueueWait,
+		Fair:           g.sharesByAccount,
+		Asked:          g.batchRouter.Asked,
+		Standing:       g.batchRouter.Standing,
 		ResultZone:     g.resultZone,
 		Breakers:       g.breakers,
 		Balancer:       g.balancer,
@@ -175,6 +180,7 @@
 	}))
 	g.startPooling()
 	g.startGauges(g.updateGauges)
+	g.health.SetStatus(g.writeStatus)
 	g.callerHTTP = &http.Server{Handler: g.server, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxRequestHeaderBytes}
 	g.readyHTTP = &http.Server{Handler: platform.ReadyMux(g.checkReady)}
 	return errors.Join(g.serveHealth(g.checkReady), g.serveOn(s.Listen.Ready, g.readyHTTP), g.serveOn(s.Listen.Callers, g.callerHTTP))
@@ -323,6 +329,12 @@
 	return u.Zone
 }
 
+// sharesByAccount reports whether scarce capacity is shared between accounts.
+func (g *gatewayProcess) sharesByAccount() bool {
+	x := g.server.Index()
+	return g.settings.Fair.Accounts && x != nil && x.RequiresKey()
+}
+
 // findService returns the configuration of a service.
 func (g *gatewayProcess) findService(name string) (*site.Service, bool) {
 	x := g.server.Index()
@@ -412,6 +424,7 @@
 	scope.Gauge("news_received_bytes").Update(float64(received.Bytes))
 	scope.Gauge("documents_received").Update(float64(received.Documents))
 	scope.Gauge("document_received_bytes").Update(float64(received.DocumentBytes))
+	g.updateAccounts(scope)
 	halfOpen, open := g.breakers.Counts()
 	scope.Gauge("breakers_half_open").Update(float64(halfOpen))
 	scope.Gauge("breakers_open").Update(float64(open))
--- a/internal/api/gateway/admission.go
+++ b/internal/api/gateway/admission.go
@@ -32,6 +32,12 @@
 			UntilObjective: time.Until(q.start.Add(q.route.Objective)),
 			UntilDeadline:  q.timeToAbandon(),
 			Rank:           q.rank.RoutePriority(),
+			Returned:       q.returned,
+		}
+		if q.server.fair() {
+			// A response that comes when the caller has given up is of no use, whatever
+			// the objective of the route.
+			r.UntilObjective = min(r.UntilObjective, r.UntilDeadline)
 		}
 		switch d := pace.Decide(r).(type) {
 		case pace.Start:
@@ -96,7 +102,7 @@
 		}
 	}
 	if callTime := q.expectedCallTime(stage); callTime > 0 {
-		wait, totalWait := q.server.cfg.QueueWait(q.route.Stages[stage].Service, q.stageZone(), q.rank)
+		wait, totalWait := q.server.cfg.QueueWait(q.route.Stages[stage].Service, q.stageZone(), q.account, q.rank)
 		longest.work += callTime
 		longest.wait += wait
 		longest.totalWait += totalWait
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -33,6 +33,8 @@
 	route    *site.Route
 	account  string
 	rank     site.Rank
+	// returned is set if the request is taken for the return of one that was refused.
+	returned bool
 
 	service *site.Service
 	// zone caches the result of stageZone.
@@ -99,6 +101,7 @@
 	unsentCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(q.server.unsentCtx, cancel)()
+	q.recordAsked()
 	if f := q.awaitAdmission(unsentCtx); f != nil {
 		q.server.writeFailure(w, q, f)
 		return
--- a/internal/dispatch/batcher/batcher_test.go
+++ b/internal/dispatch/batcher/batcher_test.go
@@ -401,6 +401,7 @@
 	for name, spoil := range map[string]func(*Job){
 		"request ID": func(j *Job) { j.RequestID = "caf\xe9" },
 		"key":        func(j *Job) { j.Key = "caf\xe9" },
+		"account":    func(j *Job) { j.Account = "caf\xe9" },
 	} {
 		t.Run(name, func(t *testing.T) {
 			u, unused := newFakeUpstream(t), newFakeUpstream(t)
@@ -408,6 +409,7 @@
 			r := newRouter(t, newOwner(t, 1<<40, unused), "self", func() []string { return []string{p.server.Address()} })
 			spoiled := newJob("r1", 2)
 			spoil(&spoiled)
+			r.Asked(spoiled)
 			var invalid *InvalidJobError
 			if got, ok := r.Do(context.Background(), spoiled).(Failed); !ok || !errors.As(got.Err, &invalid) {
 				t.Errorf("got %+v, want Failed with an *InvalidJobError", got)
--- a/internal/dispatch/batcher/learned.go
+++ b/internal/dispatch/batcher/learned.go
@@ -1,6 +1,7 @@
 package batcher
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -26,6 +27,10 @@
 // is counted in pieces. Whole requests to the same service are held under its own name.
 func callsOf(service string) string { return service + "/calls" }
 
+// scaleSteps is the number of steps between a scale of 1 and 2. Each change of the scale
+// makes the queue order all its jobs anew.
+const scaleSteps = 8
+
 // scaled returns a configuration with the learned duration of a call, the configured one
 // if nothing is learned.
 func (o *Owner) scaled(now time.Time, service string, cfg batching.Config) batching.Config {
@@ -37,6 +42,7 @@
 		return cfg
 	}
 	scale := min(maxScale, max(minScale, typical.Seconds()/cfg.TypicalDuration().Seconds()))
+	scale = math.Round(scale*scaleSteps) / scaleSteps
 	cfg.CallOverhead = time.Duration(scale * float64(cfg.CallOverhead))
 	cfg.PieceTime = time.Duration(scale * float64(cfg.PieceTime))
 	return cfg
--- a/internal/dispatch/batcher/owner.go
+++ b/internal/dispatch/batcher/owner.go
@@ -49,7 +49,10 @@
 	// Model holds the learned duration of calls; nil expects the configured duration, and
 	// averages the slowness of each upstream.
 	Model *capacity.Model
-	Log   *zap.Logger
+	// Fair reports whether scarce capacity is shared between accounts; nil means that it
+	// is not.
+	Fair func() bool
+	Log  *zap.Logger
 }
 
 // Owner runs the jobs of the services that this process owns. It is safe for
@@ -77,6 +80,9 @@
 	timer     *time.Timer
 	// resultMemoryBytes is the memory for results at each upstream.
 	resultMemoryBytes int64
+	// sharesLogged is when the shares of accounts were last logged, zero while capacity is
+	// not scarce.
+	sharesLogged time.Time
 	// resultTTL is how long an upstream keeps a result that is not released.
 	resultTTL time.Duration
 }
@@ -124,6 +130,7 @@
 		return nil, false
 	}
 	cfg := o.scaled(time.Now(), s.service, batching.ConfigOf(config.Batching))
+	cfg.Fair = o.cfg.Fair != nil && o.cfg.Fair()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	d := o.dispatchers[s]
@@ -138,7 +145,7 @@
 		o.dispatchers[s] = d
 	}
 	d.mu.Lock()
-	d.queue.Configure(cfg)
+	d.queue.Configure(time.Now(), cfg)
 	d.cfg = cfg
 	d.resultMemoryBytes = config.Batching.ResultMemoryBytes
 	d.resultTTL = config.Batching.ResultTTL
@@ -171,13 +178,14 @@
 		Objective: now.Add(job.Objective),
 		Remaining: job.Remaining,
 		Rank:      job.Rank,
+		Account:   job.Account,
 		Zone:      job.Zone,
 
 		ResultBytes:  job.ResultBytes,
 		InputBytes:   job.InputBytes,
 		InputsExpire: inputsExpire,
 	}, job.Pieces)
-	w, refused := d.enqueue(now, queued, job.OnDispatched)
+	w, refused := d.enqueue(now, queued, job)
 	if refused != nil {
 		return *refused
 	}
@@ -201,17 +209,20 @@
 
 // enqueue queues a job and dispatches, or refuses the job if its deadline
 // cannot be met.
-func (d *dispatcher) enqueue(now time.Time, j *batching.Job, onDispatched func()) (*waiter, *Refused) {
+func (d *dispatcher) enqueue(now time.Time, j *batching.Job, request Job) (*waiter, *Refused) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.recordAsked(now, request)
 	capacity := d.capacity(now)
-	if retry, ok := d.queue.Admit(now, j, capacity); !ok {
+	retry, ok := d.queue.Admit(now, j, capacity)
+	d.logShares(now)
+	if !ok {
 		d.owner.cfg.Log.Info("pieces refused",
-			zap.String("request", j.RequestID), zap.String("service", d.shard.key()), zap.Int("stage", j.Stage),
+			zap.String("request", j.RequestID), zap.String("service", d.shard.key()), zap.Int("stage", j.Stage), zap.String("account", j.Account),
 			zap.Int("waiting", d.queue.Waiting()), zap.Float64("upstreams", math.Round(10*capacity)/10), zap.Duration("retry", retry))
 		return nil, &Refused{RetryAfter: retry, Backlog: d.queue.Backlog(now, capacity)}
 	}
-	w := &waiter{done: make(chan Result, 1), enqueued: now, lastDispatch: now, onDispatched: onDispatched}
+	w := &waiter{done: make(chan Result, 1), enqueued: now, lastDispatch: now, onDispatched: request.OnDispatched}
 	d.waiters[j] = w
 	d.queue.Push(j)
 	d.dispatch(now)
@@ -280,7 +291,6 @@
 	if d.queue.Waiting() == 0 || d.owner.ctx.Err() != nil {
 		return
 	}
-	d.failExpired(now)
 	var idle []catalog.Upstream
 	usable := d.usable(now)
 	lowest := d.minSlowness(now, usable)
@@ -326,6 +336,7 @@
 		defer d.mu.Unlock()
 		d.timer = nil
 		now := time.Now()
+		d.failExpired(now)
 		d.refuseQueued(now)
 		d.dispatch(now)
 	})
@@ -339,7 +350,7 @@
 	backlog := d.queue.Backlog(now, capacity)
 	for _, j := range infeasible {
 		d.owner.cfg.Log.Info("queued job refused: deadline can no longer be met",
-			zap.String("request", j.RequestID), zap.String("service", d.shard.key()), zap.Int("stage", j.Stage), zap.Int("rank", int(j.Rank)),
+			zap.String("request", j.RequestID), zap.String("service", d.shard.key()), zap.Int("stage", j.Stage), zap.Int("rank", int(j.Rank)), zap.String("account", j.Account),
 			zap.Duration("waited", now.Sub(j.Arrived)), zap.Duration("left", j.Deadline.Sub(now)), zap.Duration("backlog", backlog.For(j.Rank)), zap.Duration("backlog_last", backlog.Total))
 		completed := j.Completed()
 		d.complete(j, Refused{RetryAfter: backlog.Total, Backlog: backlog})
--- a/internal/dispatch/batcher/remote.go
+++ b/internal/dispatch/batcher/remote.go
@@ -11,6 +11,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/operator/logs"
 	"hawthornhub.example/hawthornhub/internal/serve/batching"
+	"hawthornhub.example/hawthornhub/internal/serve/fairshare"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
@@ -42,6 +43,9 @@
 		InputBytes:  j.InputBytes,
 		InputsTtlMs: j.InputsTTL.Milliseconds(),
 		Shard:       j.shardZone,
+		Account:     j.Account,
+		Asked:       askedMessage(j.asked),
+		Counted:     j.counted,
 	}
 }
 
@@ -63,9 +67,37 @@
 		InputBytes:  m.InputBytes,
 		InputsTTL:   time.Duration(m.InputsTtlMs) * time.Millisecond,
 		shardZone:   m.Shard,
+		Account:     m.Account,
+		asked:       askedOf(m.Asked),
+		counted:     m.Counted,
 	}
 }
 
+func askedMessage(asked map[string]int) []*fleetpb.AccountPieces {
+	var out []*fleetpb.AccountPieces
+	for account, pieces := range asked {
+		out = append(out, &fleetpb.AccountPieces{Account: account, Pieces: uint64(pieces)})
+	}
+	return out
+}
+
+// askedOf returns the pieces that accounts have asked for. No number is taken for larger
+// than maxAskedPieces.
+func askedOf(asked []*fleetpb.AccountPieces) map[string]int {
+	if len(asked) == 0 {
+		return nil
+	}
+	out := make(map[string]int, len(asked))
+	for _, a := range asked {
+		out[a.GetAccount()] = int(min(a.GetPieces(), maxAskedPieces))
+	}
+	return out
+}
+
+// maxAskedPieces limits the pieces that one message reports for an account. It is many
+// times what an entry is asked for between two messages.
+const maxAskedPieces = 1 << 20
+
 func pieceResult(id uint64, r Result) *fleetpb.PieceResult {
 	m := &fleetpb.PieceResult{Id: id}
 	switch r := r.(type) {
@@ -109,21 +141,53 @@
 }
 
 func backlogMessage(b batching.Backlog) *fleetpb.Backlog {
-	m := &fleetpb.Backlog{LastMs: b.Total.Milliseconds()}
-	for _, w := range b.Ranks {
-		m.Ranks = append(m.Ranks, &fleetpb.RankWait{Rank: int32(w.Rank), WaitMs: w.Wait.Milliseconds()})
+	m := &fleetpb.Backlog{LastMs: b.Total.Milliseconds(), Ranks: rankWaits(b.Ranks), Below: rankWaits(b.Below)}
+	for account, w := range b.Over {
+		m.Over = append(m.Over, &fleetpb.AccountWait{Account: account, Met: w.Standing == fairshare.Above, WaitMs: w.OnTime.Milliseconds(), LastMs: w.Total.Milliseconds(), PieceUs: w.Piece.Microseconds()})
 	}
 	return m
 }
 
+func rankWaits(waits []batching.RankWait) []*fleetpb.RankWait {
+	var out []*fleetpb.RankWait
+	for _, w := range waits {
+		out = append(out, &fleetpb.RankWait{Rank: int32(w.Rank), WaitMs: w.Wait.Milliseconds()})
+	}
+	return out
+}
+
 func backlogOf(m *fleetpb.Backlog) batching.Backlog {
-	b := batching.Backlog{Total: time.Duration(m.GetLastMs()) * time.Millisecond}
-	for _, w := range m.GetRanks() {
-		b.Ranks = append(b.Ranks, batching.RankWait{Rank: site.Rank(w.Rank), Wait: time.Duration(w.WaitMs) * time.Millisecond})
+	b := batching.Backlog{
+		Total: time.Duration(m.GetLastMs()) * time.Millisecond,
+		Ranks: rankWaitsOf(m.GetRanks()),
+		Below: rankWaitsOf(m.GetBelow()),
+	}
+	for _, a := range m.GetOver() {
+		if b.Over == nil {
+			b.Over = make(map[string]batching.AccountWait)
+		}
+		w := batching.AccountWait{
+			Standing: fairshare.Unmet,
+			OnTime:   time.Duration(a.GetWaitMs()) * time.Millisecond,
+			Total:    time.Duration(a.GetLastMs()) * time.Millisecond,
+			Piece:    time.Duration(a.GetPieceUs()) * time.Microsecond,
+		}
+		if a.GetMet() {
+			w.Standing = fairshare.Above
+		}
+		b.Over[a.GetAccount()] = w
 	}
 	return b
 }
 
+func rankWaitsOf(waits []*fleetpb.RankWait) []batching.RankWait {
+	var out []batching.RankWait
+	for _, w := range waits {
+		out = append(out, batching.RankWait{Rank: site.Rank(w.GetRank()), Wait: time.Duration(w.GetWaitMs()) * time.Millisecond})
+	}
+	return out
+}
+
 // Serve runs the jobs of another process until its stream ends, and then cancels
 // those that are still running.
 func (o *Owner) Serve(ctx context.Context, st *link.Stream, first *fleetpb.Envelope) {
--- a/internal/dispatch/batcher/router.go
+++ b/internal/dispatch/batcher/router.go
@@ -12,6 +12,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/fleet/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/serve/batching"
+	"hawthornhub.example/hawthornhub/internal/serve/fairshare"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
@@ -42,7 +43,15 @@
 	lostUntil map[string]time.Time
 	// backlogs are the last reported backlogs.
 	backlogs map[shard]reportedBacklog
-	wg       sync.WaitGroup
+	// asked is what accounts have asked for since the last job was sent, by shard and
+	// account.
+	asked map[shard]map[string]int
+	// sent is the number of pieces sent since the last report of a backlog, by shard and
+	// account.
+	sent map[shard]map[string]int
+	// counted is set once Asked has been called.
+	counted bool
+	wg      sync.WaitGroup
 }
 
 // reportedBacklog is a backlog that an owner reported with a result.
@@ -57,7 +66,7 @@
 
 // NewRouter returns a Router without streams.
 func NewRouter(cfg RouterConfig) *Router {
-	r := &Router{cfg: cfg, remotes: make(map[string]*remoteOwner), lostUntil: make(map[string]time.Time), backlogs: make(map[shard]reportedBacklog)}
+	r := &Router{cfg: cfg, remotes: make(map[string]*remoteOwner), lostUntil: make(map[string]time.Time), backlogs: make(map[shard]reportedBacklog), asked: make(map[shard]map[string]int), sent: make(map[shard]map[string]int)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
 }
@@ -79,6 +88,7 @@
 		return Failed{Err: err}
 	}
 	job.shardZone = shardOf(job, r.upstreams(job.Service)).zone
+	job.asked, job.counted = r.prepare(job)
 	result := r.route(ctx, job)
 	switch result := result.(type) {
 	case Completed:
@@ -97,19 +107,70 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.backlogs[s] = reportedBacklog{waits: waits, at: time.Now()}
+	delete(r.sent, s)
 }
 
-// QueueWait returns how long a new job for a service that prefers a zone is expected
-// to wait: onTime if it has the given rank and can meet its objective, total if it is
-// queued behind all others.
-func (r *Router) QueueWait(service, zone string, rank site.Rank) (onTime, total time.Duration) {
+// QueueWait returns how long a new job of an account for a service that prefers a zone is
+// expected to wait: onTime if it has the given rank and can meet its objective, total if it
+// cannot.
+func (r *Router) QueueWait(service, zone, account string, rank site.Rank) (onTime, total time.Duration) {
 	s := shardOf(Job{Service: service, Zone: zone}, r.upstreams(service))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.backlogs[s]
 	weight := max(0, 1-time.Since(b.at).Seconds()/backlogLifetime.Seconds())
 	decayed := func(wait time.Duration) time.Duration { return time.Duration(float64(wait) * weight) }
-	return decayed(b.waits.For(rank)), decayed(b.waits.Total)
+	onTime, total = b.waits.ForAccount(account, rank)
+	onTime += time.Duration(r.sent[s][account]) * b.waits.Over[account].Piece
+	return decayed(onTime), decayed(total)
+}
+
+// add adds the pieces of a job to those of its account.
+func add(counts map[shard]map[string]int, s shard, job Job) {
+	if counts[s] == nil {
+		counts[s] = make(map[string]int)
+	}
+	counts[s][job.Account] += job.Pieces
+}
+
+// Standing returns the standing of an account at a service that prefers a zone, as its owner
+// last reported it.
+func (r *Router) Standing(service, zone, account string) fairshare.Standing {
+	s := shardOf(Job{Service: service, Zone: zone}, r.upstreams(service))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.backlogs[s]
+	if time.Since(b.at) > backlogLifetime {
+		return fairshare.Below
+	}
+	return b.waits.Over[account].Standing
+}
+
+// Asked records that the account of a job asks for its pieces. It is called once for each
+// stage of a request when the request arrives, whether the request is served or not. What
+// it records goes to the owner with the next job. A job that cannot be encoded is left out,
+// as it would make all others fail with it.
+func (r *Router) Asked(job Job) {
+	if job.Validate() != nil {
+		return
+	}
+	s := shardOf(job, r.upstreams(job.Service))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	add(r.asked, s, job)
+	r.counted = true
+}
+
+// prepare counts a job that is to be sent, and returns what accounts have asked for since
+// the last call, false if that is not counted here.
+func (r *Router) prepare(job Job) (asked map[string]int, counted bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := job.shard()
+	add(r.sent, s, job)
+	asked = r.asked[s]
+	delete(r.asked, s)
+	return asked, r.counted
 }
 
 func (r *Router) route(ctx context.Context, job Job) Result {
--- a/internal/operator/settings/site.go
+++ b/internal/operator/settings/site.go
@@ -34,6 +34,7 @@
 	Stop     SiteStop     `toml:"stop"`
 	Retry    SiteRetry    `toml:"retry"`
 	Capacity SiteCapacity `toml:"capacity"`
+	Fair     SiteFair     `toml:"fair"`
 }
 
 // SiteCapacity configures how a gateway judges the capacity of upstreams.
@@ -89,6 +90,14 @@
 	Burst float64 `toml:"slack"`
 }
 
+// SiteFair sets how scarce capacity is shared.
+type SiteFair struct {
+	// Accounts shares scarce capacity between the accounts of the document, if it has
+	// any. It is set on all gateways or on none: the one that owns a service decides for
+	// all. The default is false.
+	Accounts bool `toml:"accounts"`
+}
+
 // LoadSite reads and validates the settings of a gateway or registry. If the file
 // can be read but is invalid, the error is a *ValidationError.
 func LoadSite(file string, role Role) (Site, error) {
