serve/balance: the home of a prompt prefix lies in the zone of its inputs, and reading it anew counts

With learned capacity, the upstream that a prefix hashes to was sought in all zones. The home is now the one in the zone of the inputs, and an upstream without the prefix is charged the time of reading it for each request that runs there, which it delays by as long.

--- a/internal/serve/balance/learned.go
+++ b/internal/serve/balance/learned.go
@@ -51,7 +51,11 @@
 	overdueRatio = 2
 	// assumedCached is the share of a shared prefix that the upstream that the prefix hashes
 	// to is assumed to have cached from the requests of other entries.
-	assumedCached = 0.5
+	assumedCached = 0.95
+	// rereadCost is the cost of reading a shared prefix anew, as a multiple of the time that
+	// it takes from each request that runs there: the copy also takes the place of other
+	// prefixes in the cache, which are then read anew too.
+	rereadCost = 2
 )
 
 // Choice is the upstream chosen for a request. It counts as in flight until Done.
@@ -213,7 +217,7 @@
 	}
 	b.draw(now, info, candidates, func(u *catalog.Upstream) { consider(u, false) })
 	if info.Prefix != "" {
-		holders, homeID := p.longestHeld(), b.prefixes.home(now, info.Prefix, candidates)
+		holders, homeID := p.longestHeld(), b.prefixes.home(now, info.Prefix, info.Zone, candidates)
 		for i := range candidates {
 			u := &candidates[i]
 			isHome := u.ID == homeID
@@ -303,7 +307,7 @@
 	if !known {
 		return e
 	}
-	e.cost = prediction.Took.Seconds() * s.slownessRatio(now) * s.learned.overdue(now) * (1 + failureFactor*s.decayedFailureRate(now))
+	e.cost = (prediction.Took.Seconds() + rereadCost*e.rereadTime(p.cachable-cached)*e.load) * s.slownessRatio(now) * s.learned.overdue(now) * (1 + failureFactor*s.decayedFailureRate(now))
 	if prediction.Allowed > 0 && s.inFlight >= prediction.Allowed {
 		// A new upstream gets more only as it answers.
 		e.cost *= 2 * float64(s.inFlight+1) / float64(prediction.Allowed)
@@ -320,6 +324,16 @@
 	return e
 }
 
+// rereadTime returns the seconds that the upstream spends on the tokens of a shared prefix
+// that it does not have cached. An engine reads them between the tokens of the requests that
+// it runs, and delays each of these by as long.
+func (e estimate) rereadTime(uncached int) float64 {
+	if uncached <= 0 || e.work <= 0 {
+		return 0
+	}
+	return e.prediction.WorkTime.Seconds() * min(1, float64(uncached)/e.work)
+}
+
 // query returns the query for a request at an upstream.
 func (b *Balancer) query(s *state, u *catalog.Upstream, work, load float64) capacity.Query {
 	slots := s.report.Slots
--- a/internal/serve/balance/prefixes.go
+++ b/internal/serve/balance/prefixes.go
@@ -33,32 +33,38 @@
 	homes             map[string]home
 }
 
-// home is the upstream that a prefix hashes to, as of a time.
+// home is the upstream in a zone that a prefix hashes to, as of a time.
 type home struct {
-	id string
-	at time.Time
+	id, zone string
+	at       time.Time
 }
 
 // homeTTL is how long a home is kept. Ranking 400 upstreams takes most of the time of a
 // decision, and while they change, a prefix may have another home for a moment.
 const homeTTL = 250 * time.Millisecond
 
-// home returns the ID of the upstream that a prefix hashes to, the one that ByHash returns.
-func (m *prefixMemory) home(now time.Time, prefix string, candidates []catalog.Upstream) string {
-	if h, ok := m.homes[prefix]; ok && now.Sub(h.at) < homeTTL {
+// home returns the ID of the upstream that a prefix hashes to among those in an availability
+// zone, or among all if the zone is empty or has none. Requests with the prefix have their
+// inputs in that zone, and an upstream elsewhere would not be chosen for them.
+func (m *prefixMemory) home(now time.Time, prefix, zone string, candidates []catalog.Upstream) string {
+	if h, ok := m.homes[prefix]; ok && h.zone == zone && now.Sub(h.at) < homeTTL {
 		return h.id
 	}
 	key := rendezvous.NewKey(prefix)
-	best, bestWeight := 0, uint64(0)
+	best, bestWeight, bestInZone := 0, uint64(0), false
 	for i := range candidates {
-		if w := key.Weight(candidates[i].ID); w > bestWeight {
-			best, bestWeight = i, w
+		inZone := zone != "" && candidates[i].Zone == zone
+		if bestInZone && !inZone {
+			continue
+		}
+		if w := key.Weight(candidates[i].ID); w > bestWeight || inZone && !bestInZone {
+			best, bestWeight, bestInZone = i, w, inZone
 		}
 	}
 	if m.homes == nil || len(m.homes) >= maxPrefixes {
 		m.homes = make(map[string]home)
 	}
-	m.homes[prefix] = home{id: candidates[best].ID, at: now}
+	m.homes[prefix] = home{id: candidates[best].ID, zone: zone, at: now}
 	return candidates[best].ID
 }
 
--- a/internal/serve/capacity/model.go
+++ b/internal/serve/capacity/model.go
@@ -269,6 +269,9 @@
 type Prediction struct {
 	// Took is the time to the first event or to the answer.
 	Took time.Duration
+	// WorkTime is the part of Took at low load that is due to the work beyond its fixed
+	// part. For that long the upstream gets on with other requests more slowly.
+	WorkTime time.Duration
 	// Full is set if the upstream is expected to refuse the request.
 	Full bool
 	// Allowed is the number of requests that this process may have in flight while the
@@ -300,6 +303,7 @@
 		}
 	}
 	p.Took = duration(s.expected(q) * math.Exp(logTime))
+	p.WorkTime = duration(max(0, s.line.Predict(q.Work)-s.line.Predict(0)) * math.Exp(logTime))
 	return p
 }
 
