catalog, site, platform: what services and upstreams say of cold periods

A service may configure cold-per-s and cold-start-s, and an upstream's heartbeat how long it stays cold. The end of a cold period is part of the announcement that control instances pass on, told when a period begins or is extended by more than the spread of delays, and part of the digests. Marks make the upstreams of a zone count as cold until their next heartbeat.

--- a/internal/fleet/catalog/digest.go
+++ b/internal/fleet/catalog/digest.go
@@ -55,6 +55,10 @@
 		h.Write([]byte(field))
 		h.Write([]byte{0})
 	}
+	// Upstreams without cold periods have the digest of earlier versions.
+	if u.ColdSeq > 0 || u.ColdMark > 0 {
+		h.Write([]byte(strconv.FormatUint(u.ColdSeq, 10) + "\x00" + strconv.FormatUint(u.ColdMark, 10)))
+	}
 	return h.Sum64()
 }
 
--- a/internal/fleet/catalog/table.go
+++ b/internal/fleet/catalog/table.go
@@ -56,23 +56,32 @@
 	// a change.
 	ready   map[string][]Upstream
 	digests Digests
+	// marks are the marks on zones, see MarkCold.
+	marks map[string]uint64
 }
 
 // New returns an empty Table.
 func New(cfg Config) *Table {
-	return &Table{cfg: cfg, byID: make(map[string]Upstream), byAddr: make(map[string]string)}
+	return &Table{cfg: cfg, byID: make(map[string]Upstream), byAddr: make(map[string]string), marks: make(map[string]uint64)}
 }
 
-// Merge applies an announcement unless a newer one is known.
+// Merge applies an announcement of another process unless a newer one is known. What it
+// says of a cold period is applied all the same if it is of the known start, see
+// joinCold.
 func (t *Table) Merge(u Upstream) Outcome {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.merge(u)
+}
+
+// merge is Merge for a caller that holds mu.
+func (t *Table) merge(u Upstream) Outcome {
 	current, known := t.byID[u.ID]
 	if u.State == Left {
 		return t.markLeft(current, known, u)
 	}
 	if known && !isNewer(current, u) {
-		return Stale
+		return t.mergeCold(current, u)
 	}
 	if !t.claimAddress(u) {
 		return Stale
@@ -84,6 +93,10 @@
 		u.LastSeen = current.LastSeen
 	}
 	u.Silent = known && current.StartTimeMs == u.StartTimeMs && current.Silent
+	if known && current.StartTimeMs == u.StartTimeMs {
+		u = u.joinCold(current)
+	}
+	u.zoneMark = t.marks[u.Zone]
 	t.put(current, u)
 	if known && equalExceptLiveness(current, u) {
 		return Refreshed
@@ -122,6 +135,8 @@
 	a.Seq, b.Seq = 0, 0
 	a.LastSeen, b.LastSeen = time.Time{}, time.Time{}
 	a.Silent, b.Silent = false, false
+	a.ColdUntil, b.ColdUntil = time.Time{}, time.Time{}
+	a.zoneMark, b.zoneMark = 0, 0
 	return a == b
 }
 
@@ -174,7 +189,7 @@
 	held := protoByID(known)
 	var out []*fleetpb.UpstreamWord
 	for _, u := range t.InBuckets(bucketSet(buckets)) {
-		if w := held[u.ID]; w != nil && (w.BornMs > u.StartTimeMs || w.BornMs == u.StartTimeMs && State(w.State) >= u.State) {
+		if w := held[u.ID]; w != nil && (w.BornMs > u.StartTimeMs || w.BornMs == u.StartTimeMs && State(w.State) >= u.State && !coldLacks(w, u)) {
 			continue
 		}
 		if !u.Silent && u.State != Left {
@@ -189,13 +204,13 @@
 // refers to the known start.
 func (t *Table) markLeft(current Upstream, known bool, u Upstream) Outcome {
 	if !known {
-		t.put(Upstream{}, u)
+		t.put(Upstream{}, u.withoutCold())
 		return Changed
 	}
 	if u.StartTimeMs != 0 && u.StartTimeMs < current.StartTimeMs || current.State == Left && current.StartTimeMs >= u.StartTimeMs {
 		return Stale
 	}
-	left := current.WithState(Left)
+	left := current.WithState(Left).withoutCold()
 	left.StartTimeMs = max(current.StartTimeMs, u.StartTimeMs)
 	left.LastSeen = u.LastSeen
 	t.put(current, left)
@@ -216,7 +231,7 @@
 		return false
 	}
 	if other.State != Left {
-		left := other.WithState(Left)
+		left := other.WithState(Left).withoutCold()
 		left.LastSeen = u.LastSeen
 		t.replaceDigest(other, left)
 		t.byID[id] = left
--- a/internal/fleet/catalog/upstream.go
+++ b/internal/fleet/catalog/upstream.go
@@ -53,6 +53,17 @@
 	// Silent is set if the upstream has not been heard for so long that it should be
 	// called only if there is no other.
 	Silent bool
+	// ColdSeq is the Seq of the announcement that began or last extended the cold
+	// period of this start, 0 if there was none.
+	ColdSeq uint64
+	// ColdUntil is the end of the cold period: the time of receipt plus the time that
+	// was left.
+	ColdUntil time.Time
+	// ColdMark is the highest mark on the upstream's zone, see Table.MarkCold, that the
+	// upstream has announced itself after.
+	ColdMark uint64
+	// zoneMark is the mark on the upstream's zone in this process.
+	zoneMark uint64
 }
 
 // silentAfter is the time without an announcement after which an upstream is
@@ -86,6 +97,10 @@
 		Version: u.Version,
 		AgeMs:   now.Sub(u.LastSeen).Milliseconds(),
 		Silent:  u.Silent,
+
+		ColdSeq:    u.ColdSeq,
+		ColdLeftMs: ceilMilliseconds(u.ColdUntil.Sub(now)),
+		ColdMark:   u.ColdMark,
 	}
 }
 
@@ -103,5 +118,8 @@
 		StartTimeMs: w.BornMs,
 		Seq:         w.Seq,
 		LastSeen:    now.Add(-time.Duration(w.AgeMs) * time.Millisecond),
+		ColdSeq:     w.ColdSeq,
+		ColdUntil:   coldUntil(w, now),
+		ColdMark:    w.ColdMark,
 	}
 }
--- a/internal/fleet/watch/hub.go
+++ b/internal/fleet/watch/hub.go
@@ -146,9 +146,18 @@
 func (h *Hub) mergeLearnt(u catalog.Upstream) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.cfg.Table.Merge(u) == catalog.Changed && u.State != catalog.Ready {
+	before, known := h.cfg.Table.Get(u.ID)
+	if h.cfg.Table.Merge(u) != catalog.Changed {
+		return
+	}
+	if u.State != catalog.Ready {
 		h.untold[u.ID] = true
 	}
+	// Cold periods are passed on: an entry without a stream to the instance that was told
+	// would find out by the digest only, after most of a second of full load.
+	if known && before.StartTimeMs == u.StartTimeMs && u.ColdSeq > before.ColdSeq {
+		h.publish(key{kind: upstreamChange, id: u.ID})
+	}
 }
 
 // mergeAnnounced applies an announcement that was made to this instance, and tells the
@@ -157,7 +166,7 @@
 func (h *Hub) mergeAnnounced(u catalog.Upstream) (outcome catalog.Outcome, seq uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	outcome = h.cfg.Table.Merge(u)
+	outcome = h.cfg.Table.Announce(u)
 	k := key{kind: upstreamChange, id: u.ID}
 	if outcome == catalog.Changed || h.untold[u.ID] {
 		delete(h.untold, u.ID)
--- a/internal/state/site/document.go
+++ b/internal/state/site/document.go
@@ -109,6 +109,10 @@
 	Engine *Engine
 	// Batching is set if the upstreams process the pieces of stages.
 	Batching *Batching
+	// ColdPerSecond is the number of requests that an upstream tolerates in a second
+	// while it is cold, 0 if it is never cold. ColdStartSeconds is how long it stays cold
+	// after a start.
+	ColdPerSecond, ColdStartSeconds float64
 }
 
 // Engine describes each model engine of a service.
--- a/internal/state/site/validate.go
+++ b/internal/state/site/validate.go
@@ -49,8 +49,23 @@
 	if b := s.Batching; b != nil && (b.MaxBatch < 1 || b.Slots < 1) {
 		v.add("service %s: batch and slots must be positive", s.Name)
 	}
+	if !(s.ColdPerSecond >= 0 && s.ColdPerSecond <= maxColdPerSecond) {
+		v.add("service %s: cold-per-s is %v; give the requests a second that a cold upstream tolerates, at most %d, or leave it out", s.Name, s.ColdPerSecond, maxColdPerSecond)
+	}
+	if !(s.ColdStartSeconds >= 0 && s.ColdStartSeconds <= maxColdStartSeconds) {
+		v.add("service %s: cold-start-s is %v; give the seconds that an upstream is cold after a start, at most %d, or leave it out", s.Name, s.ColdStartSeconds, maxColdStartSeconds)
+	}
 }
 
+const (
+	// maxColdPerSecond is the highest rate that a cold upstream may be said to tolerate:
+	// far more than a process can send.
+	maxColdPerSecond = 1_000_000
+	// maxColdStartSeconds is the longest time for which an upstream may be said to be
+	// cold after a start.
+	maxColdStartSeconds = 24 * 60 * 60
+)
+
 type hostPrefix struct{ host, prefix string }
 
 func (v *validator) routes(routes []Route) {
