warmup, gateway, watch, settings: limit what reaches cold upstreams

The shares of entries in contact with a majority of the control instances add up to the tolerance; entries that have been isolated for long share a part of the margin. Requests that can still meet their objective wait for the next share, the others are refused with the time until then. Balancing prefers upstreams that are not cold while any of them has a free slot.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -68,6 +68,8 @@
 	upstreams *catalog.Table
 	// rules tell which upstreams may be called at the moment.
 	rules eligible.Rules
+	// cold is the one of them that keeps requests from cold upstreams.
+	cold *coldRule
 	// zones keeps requests from evacuated availability zones.
 	zones *zonefilter.Filter
 	// zoneRestored is called with each zone whose evacuation has ended.
@@ -111,16 +113,17 @@
 
 func (g *gatewayProcess) start() error {
 	s := g.settings
+	g.cold = newColdRule(g)
 	var stageTimes *capacity.Model
 	if s.Capacity.Learn {
 		g.capacity, stageTimes = capacity.NewModel(), capacity.NewModel()
 	}
-	g.balancer = balance.New(balance.Config{Zone: s.Zone, Random: rand.IntN, Model: g.capacity})
+	g.balancer = balance.New(balance.Config{Zone: s.Zone, Random: rand.IntN, Model: g.capacity, Cold: g.cold.Cold})
 	g.breakers = breaker.NewGuard(breaker.GuardConfig{Report: g.reportPrompts, Rank: g.trialRank, Log: g.log})
 	g.upstreams = catalog.New(catalog.Config{OnChange: g.onUpstreamChange})
 	g.zones = zonefilter.New(zonefilter.Config{Random: rand.Float64})
 	g.zoneRestored = func(string) {}
-	g.rules = eligible.Rules{g.zones}
+	g.rules = eligible.Rules{g.zones, g.cold}
 	g.transport = transport.NewPool(transport.Config{Classify: platform.Classify, Permit: g.permitSend, Log: g.log})
 	g.batchOwner = batcher.NewOwner(batcher.Config{
 		Send:      g.transport.Send,
@@ -141,6 +144,7 @@
 		Upstreams:      g.offeredUpstreams,
 		Rules:          g.rules,
 		Evacuated:      g.evacuatedUpstreams,
+		NextCall:       g.nextCall,
 		RunStage:       g.batchRouter.Do,
 		ReleaseResults: g.batchRouter.Release,
 		QueueWait:      g.batchRouter.QueueWait,
@@ -231,6 +235,13 @@
 		g.upstreams.Merge(catalog.FromProto(u, now))
 	}
 	g.breakers.Apply(n)
+	g.cold.observe()
+}
+
+// nextCall returns how long after now one of the upstreams may be called by a request that
+// a number of others are ahead of.
+func (g *gatewayProcess) nextCall(now time.Time, upstreams []catalog.Upstream, ahead int) time.Duration {
+	return g.cold.NextShare(now, g.rules, upstreams, ahead)
 }
 
 // reportPrompts sends what this gateway has seen of prompt segments to the control
@@ -288,10 +299,11 @@
 	if !ok || u.State != catalog.Ready {
 		return fmt.Errorf("upstream %s takes no requests any more; use another", t.ID)
 	}
-	if g.rules.Wait(time.Now(), u) > 0 {
-		return fmt.Errorf("upstream %s may not be called now; use another", t.ID)
+	now := time.Now()
+	if wait := g.rules.Wait(now, u); wait > 0 {
+		return &eligible.WaitError{Upstream: t.ID, Wait: wait}
 	}
-	return nil
+	return g.cold.Take(now, u)
 }
 
 // endCheckTimeout is how long an upstream that has broken off a response is waited for to
@@ -435,7 +447,9 @@
 	}
 	g.reportCapacity(scope)
 	counts := make(map[catalog.State]int)
-	for _, u := range g.upstreams.All() {
+	all := g.upstreams.All()
+	g.cold.updateGauges(time.Now(), scope, all)
+	for _, u := range all {
 		counts[u.State]++
 	}
 	for _, s := range []catalog.State{catalog.Ready, catalog.Draining, catalog.Left} {
--- a/internal/api/gateway/durations.go
+++ b/internal/api/gateway/durations.go
@@ -50,6 +50,14 @@
 	d.routes[route] = known.with(elapsed)
 }
 
+// typical returns the average duration of a route, false if none has ended yet.
+func (d *routeDurations) typical(route string) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known, ok := d.routes[route]
+	return known.average, ok
+}
+
 // bound returns the time in which a request of the route ends, also on a slow
 // upstream, false if none has ended yet. Streams vary more than other requests.
 func (d *routeDurations) bound(r *site.Route) (time.Duration, bool) {
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -152,6 +152,7 @@
 // is allowed.
 func (q *request) forward(ctx context.Context) (*transport.Answered, *failure) {
 	var last *failure
+	deferrals := 0
 	for picks := 0; picks < maxPicks; picks++ {
 		if err := ctx.Err(); err != nil {
 			return nil, q.contextFailure(last)
@@ -161,7 +162,12 @@
 		}
 		choice, wait, ok := q.pickUpstream()
 		if !ok {
-			return nil, orElse(last, unavailable("no upstream of the service may be called now", retryAfterWait(wait)))
+			waited, wait := q.awaitCallable(ctx, wait)
+			if !waited {
+				return nil, orElse(last, unavailable("no upstream of the service may be called now", retryAfterWait(wait)))
+			}
+			picks--
+			continue
 		}
 		if choice, ok = q.awaitRoom(ctx, choice); !ok {
 			continue
@@ -171,6 +177,11 @@
 		if response != nil {
 			return response, nil
 		}
+		if f.deferred && deferrals < maxDeferrals {
+			deferrals++
+			picks--
+			continue
+		}
 		last = f
 		if !retry {
 			return nil, f
@@ -183,6 +194,10 @@
 // attempts of a route, it counts unreachable upstreams too.
 const maxPicks = 6
 
+// maxDeferrals limits how often a request is not sent because others took what its
+// upstream may be sent at the moment, which does not count as a pick.
+const maxDeferrals = 32
+
 func orElse(f, other *failure) *failure {
 	if f != nil {
 		return f
@@ -252,10 +267,10 @@
 // retryAfterWait returns the Retry-After of a request that no upstream may be sent for
 // the time wait.
 func retryAfterWait(wait time.Duration) time.Duration {
-	if wait == eligible.Unknown {
+	if wait == 0 || wait == eligible.Unknown {
 		return defaultRetryAfter
 	}
-	return max(defaultRetryAfter, wait)
+	return wait
 }
 
 // sharedPrefix returns the ID of the last prompt segment that other requests
@@ -297,6 +312,10 @@
 		return nil, f, q.allowRetry(u, "rejected by the upstream", nil)
 	case transport.NotSent:
 		q.attempts--
+		if f := q.deferSend(ctx, o.Err); f != nil {
+			s.cfg.Balancer.Cancel(q.choice)
+			return nil, f, true
+		}
 		s.cfg.Balancer.End(now, q.choice, balance.DoneInfo{Unreachable: !o.Local})
 		q.logAttempt("could not send request to upstream", u, o.Err)
 		if ctx.Err() != nil {
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -51,6 +51,9 @@
 	// Evacuated returns the number of upstreams of a service that Upstreams leaves out
 	// because their availability zone is evacuated; nil stands for none.
 	Evacuated func(service string) int
+	// NextCall returns how long after now one of the upstreams may be called by a request
+	// that a number of others are ahead of; nil uses the shortest wait of Rules.
+	NextCall func(now time.Time, upstreams []catalog.Upstream, ahead int) time.Duration
 	// RunStage runs the pieces of one stage of a request.
 	RunStage func(ctx context.Context, job batcher.Job) batcher.Result
 	// QueueWait returns the expected queue wait of new work of an account for a service
@@ -127,6 +130,9 @@
 	// held is what answers hold before it can be forwarded.
 	held    heldMemory
 	sharing sharing
+	// waiting counts the requests of each service by name that wait until an upstream may
+	// be called.
+	waiting waitCounts
 }
 
 // configurationWait is how long a request waits for the first site document. A
@@ -342,6 +348,8 @@
 	// inputsExpired is set if the upstream reported that results of the stages
 	// have expired.
 	inputsExpired bool
+	// deferred is set if the upstream may not be called now and the request was not sent.
+	deferred bool
 	// segment is the prompt segment whose breaker is not closed, if that is the reason.
 	segment string
 	err     error
--- /dev/null
+++ b/internal/api/gateway/wait.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
+	"hawthornhub.example/hawthornhub/internal/serve/eligible"
+	"hawthornhub.example/hawthornhub/internal/state/site"
+)
+
+const (
+	// minCallableWait is the shortest wait for an upstream that may be called, so that
+	// requests whose wait has just ended do not spin.
+	minCallableWait = time.Millisecond
+	// maxResumeWait is the longest wait with a stream that broke off. Its caller has got
+	// the first event already, and loses the stream otherwise.
+	maxResumeWait = 2 * time.Second
+)
+
+// waitCounts counts the waiting requests by service. The zero value has none.
+type waitCounts struct {
+	mu       sync.Mutex
+	services map[string]int
+}
+
+// add changes the count of a service and returns what it was before.
+func (w *waitCounts) add(service string, n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.services[service]
+	if w.services == nil {
+		w.services = make(map[string]int)
+	}
+	w.services[service] = before + n
+	return before
+}
+
+// deferSend returns the failure of a request that was not sent because its upstream may
+// not be called now, nil if it was not sent for another reason. The request may be sent
+// to that upstream later.
+func (q *request) deferSend(ctx context.Context, err error) *failure {
+	var wait *eligible.WaitError
+	if ctx.Err() != nil || !errors.As(err, &wait) {
+		return nil
+	}
+	q.tried = q.tried[:len(q.tried)-1]
+	f := unavailable("no upstream of the service may be called now", retryAfterWait(wait.Wait))
+	f.deferred = true
+	return f
+}
+
+// awaitCallable waits until an upstream may be called again of which the shortest wait is
+// given, if the request can still meet its objective then. Otherwise it returns false and
+// the time after which one may be called. Nothing is held meanwhile, and the wait ends
+// with the caller.
+func (q *request) awaitCallable(ctx context.Context, wait time.Duration) (waited bool, next time.Duration) {
+	if wait == 0 {
+		return false, 0
+	}
+	s := q.server
+	ahead := s.waiting.add(q.service.Name, 1)
+	defer s.waiting.add(q.service.Name, -1)
+	if s.cfg.NextCall != nil {
+		wait = s.cfg.NextCall(time.Now(), q.untried(), ahead)
+	}
+	wait = max(minCallableWait, wait)
+	if wait == eligible.Unknown || wait > q.waitLimit() || s.draining.Load() {
+		return false, wait
+	}
+	s.cfg.Metrics.Counter("waited_for_upstream").Inc(1)
+	s.cfg.Log.Debug("request waits for an upstream", q.fields(zap.Duration("wait", wait), zap.Int("ahead", ahead))...)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-s.unsentCtx.Done():
+		return false, stoppingRetryAfter
+	}
+	return true, 0
+}
+
+// untried returns the upstreams of the service that the request was not sent to.
+func (q *request) untried() []catalog.Upstream {
+	all := q.server.cfg.Upstreams(q.service.Name)
+	if len(q.tried) == 0 {
+		return all
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(u catalog.Upstream) bool { return slices.Contains(q.tried, u.ID) })
+}
+
+// waitLimit returns how long the request may wait and still meet its objective, given how
+// long requests of its route take.
+func (q *request) waitLimit() time.Duration {
+	if q.lastEventID != "" {
+		return min(maxResumeWait, time.Until(q.deadline)-q.firstEventTime())
+	}
+	expected := q.firstEventTime()
+	if q.route.Kind != site.Streaming {
+		if average, ok := q.server.sendDurations.typical(q.route.Name); ok {
+			expected = average
+		}
+	}
+	until := q.timeToAbandon()
+	if q.route.Objective > 0 {
+		until = min(until, time.Until(q.start.Add(q.route.Objective)))
+	}
+	return until - expected
+}
--- a/internal/fleet/watch/current.go
+++ b/internal/fleet/watch/current.go
@@ -41,6 +41,32 @@
 	return time.Duration(ts.Nano())
 }
 
+// Contact is how much a process knows of the present state of the fleet.
+type Contact struct {
+	// Current is set if it knows the present state, from a control instance that it is
+	// still in contact with.
+	Current bool
+	// Majority is set if it is in contact with more than half of the control instances.
+	// Each of these lists the processes that follow it, so that two processes in contact
+	// with a majority know of each other.
+	Majority bool
+}
+
+// Contact returns how much this process knows of the present state.
+func (f *Follower) Contact() Contact {
+	_, current := f.checkCurrent()
+	controls := f.Peers(RoleControl)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fresh, now := 0, f.cfg.Now()
+	for _, p := range controls {
+		if s := f.sources[p.GetLink()]; s != nil && s.connected && now-s.ackedAt <= staleAfter {
+			fresh++
+		}
+	}
+	return Contact{Current: current && !f.freshness.behind && fresh > 0, Majority: 2*fresh > len(controls)}
+}
+
 // freshness is whether a Follower knows the present state. The Follower's mu guards it.
 type freshness struct {
 	// confirmed is a time, by Config.Now, at which no control instance can have taken
--- a/internal/operator/settings/site.go
+++ b/internal/operator/settings/site.go
@@ -35,6 +35,7 @@
 	Retry    SiteRetry    `toml:"retry"`
 	Capacity SiteCapacity `toml:"capacity"`
 	Fair     SiteFair     `toml:"fair"`
+	Cold     SiteCold     `toml:"cold"`
 }
 
 // SiteCapacity configures how a gateway judges the capacity of upstreams.
@@ -45,6 +46,37 @@
 	Learn bool `toml:"learn"`
 }
 
+// SiteCold bounds the requests of all gateways together that may reach a cold upstream
+// within a second. It matters where the site document says what cold upstreams tolerate.
+type SiteCold struct {
+	// Over is the bound as a multiple of what the upstream tolerates in a second; the
+	// default is 1.5.
+	Over float64 `toml:"over"`
+	// Slack is added to the bound, in requests; the default is 5.
+	Slack float64 `toml:"slack"`
+}
+
+const (
+	// defaultColdOver and defaultColdSlack are the bound where a deployment gives none.
+	defaultColdOver  = 1.5
+	defaultColdSlack = 5
+	// maxColdOver and maxColdSlack are beyond any bound that protects an upstream.
+	maxColdOver  = 100
+	maxColdSlack = 10_000
+)
+
+// violations returns the violations of the settings.
+func (c SiteCold) violations() []string {
+	var out []string
+	if !(c.Over >= 1 && c.Over <= maxColdOver) {
+		out = append(out, fmt.Sprintf("cold.over: %v; give the multiple of what a cold upstream tolerates that may reach it, from 1 to %d", c.Over, maxColdOver))
+	}
+	if !(c.Slack >= 0 && c.Slack <= maxColdSlack) {
+		out = append(out, fmt.Sprintf("cold.slack: %v; give the requests that may reach a cold upstream besides, from 0 to %d", c.Slack, maxColdSlack))
+	}
+	return out
+}
+
 // SiteListen holds the addresses on which the process listens, each as IP:port.
 // An empty address is not served.
 type SiteListen struct {
@@ -106,7 +138,7 @@
 
 // DecodeSite decodes and validates settings and returns all violations.
 func DecodeSite(b []byte, role Role) (Site, []string) {
-	s := Site{LogLevel: "info", Stop: SiteStop{GraceMs: 8000}, Replica: SiteReplica{MaxFailures: 1}}
+	s := Site{LogLevel: "info", Stop: SiteStop{GraceMs: 8000}, Replica: SiteReplica{MaxFailures: 1}, Cold: SiteCold{Over: defaultColdOver, Slack: defaultColdSlack}}
 	if err := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields().Decode(&s); err != nil {
 		return Site{}, decodeViolations(err)
 	}
@@ -129,6 +161,7 @@
 		out = append(out, addressViolation(fmt.Sprintf("seeds[%d]", i), seed)...)
 	}
 	out = append(out, addressViolation("listen.link", s.Listen.Link)...)
+	out = append(out, s.Cold.violations()...)
 	switch role {
 	case RoleGateway:
 		out = append(out, addressViolation("listen.callers", s.Listen.Callers)...)
--- a/internal/operator/settings/site_test.go
+++ b/internal/operator/settings/site_test.go
@@ -75,3 +75,34 @@
 		}
 	}
 }
+
+// Guards against a bound that protects no upstream or lets no request pass, and against
+// settings files of earlier deployments that are refused.
+func TestColdSettings(t *testing.T) {
+	for text, want := range map[string]string{
+		"":                              "",
+		"[cold]\nover = 2\n":            "",
+		"[cold]\nover = 1.5\nslack = 0": "",
+		"[cold]\nover = 0.5":            "cold.over",
+		"[cold]\nover = nan":            "cold.over",
+		"[cold]\nover = inf":            "cold.over",
+		"[cold]\nover = 1e6":            "cold.over",
+		"[cold]\nslack = -1":            "cold.slack",
+		"[cold]\nslack = nan":           "cold.slack",
+		"[cold]\nslack = 1e9":           "cold.slack",
+	} {
+		s, violations := DecodeSite([]byte(text), RoleGateway)
+		got := ""
+		for _, v := range violations {
+			if strings.HasPrefix(v, "cold.") {
+				got += v
+			}
+		}
+		if (got == "") != (want == "") || !strings.HasPrefix(got, want) {
+			t.Errorf("%q: got %q, want a violation of %q", text, got, want)
+		}
+		if text == "" && s.Cold != (SiteCold{Over: defaultColdOver, Slack: defaultColdSlack}) {
+			t.Errorf("without a section: got %+v, want the defaults", s.Cold)
+		}
+	}
+}
--- a/internal/serve/balance/balancer.go
+++ b/internal/serve/balance/balancer.go
@@ -48,6 +48,9 @@
 	// Model holds the learned capacity of the upstreams, by which they are chosen; nil
 	// chooses by their slots.
 	Model *capacity.Model
+	// Cold reports whether an upstream tolerates only a few requests at the moment; nil
+	// means that none does.
+	Cold func(now time.Time, u catalog.Upstream) bool
 }
 
 // PickInfo describes the request that an upstream is chosen for.
@@ -171,6 +174,32 @@
 	return out
 }
 
+// avoidCold returns the upstreams that are not cold if any of them is usable and has a free
+// slot, and all of them otherwise.
+func (b *Balancer) avoidCold(now time.Time, info PickInfo, candidates []catalog.Upstream) []catalog.Upstream {
+	if b.cfg.Cold == nil {
+		return candidates
+	}
+	var warm []catalog.Upstream
+	free := false
+	for i, u := range candidates {
+		switch {
+		case b.cfg.Cold(now, u):
+			if warm == nil {
+				warm = append(make([]catalog.Upstream, 0, len(candidates)), candidates[:i]...)
+			}
+			continue
+		case warm != nil:
+			warm = append(warm, u)
+		}
+		free = free || b.usable(now, info, &u) && b.load(now, u) < float64(u.Slots)
+	}
+	if warm == nil || !free {
+		return candidates
+	}
+	return warm
+}
+
 // best returns the upstream with affinity to the request, by its prompt prefix or
 // zone, or the better of two random ones if that one has a much lower score.
 func (b *Balancer) best(now time.Time, info PickInfo, eligible []catalog.Upstream) catalog.Upstream {
@@ -220,12 +249,7 @@
 // better.
 func (b *Balancer) score(now time.Time, u catalog.Upstream) float64 {
 	s := b.state(u.ID)
-	load := float64(s.inFlight)
-	if weight := 1 - now.Sub(s.reportedAt).Seconds()/reportTTL.Seconds(); weight > 0 {
-		reported := float64(s.report.Running + s.report.Waiting)
-		load = max(load, reported*weight)
-	}
-	score := (load + 1) / float64(max(1, u.Slots))
+	score := (b.load(now, u) + 1) / float64(max(1, u.Slots))
 	if s.report.Slowness > 0 && now.Sub(s.reportedAt) < reportTTL {
 		score *= s.report.Slowness
 	}
@@ -236,6 +260,17 @@
 	return score
 }
 
+// load returns the expected number of requests at an upstream.
+func (b *Balancer) load(now time.Time, u catalog.Upstream) float64 {
+	s := b.state(u.ID)
+	load := float64(s.inFlight)
+	if weight := 1 - now.Sub(s.reportedAt).Seconds()/reportTTL.Seconds(); weight > 0 {
+		reported := float64(s.report.Running + s.report.Waiting)
+		load = max(load, reported*weight)
+	}
+	return load
+}
+
 // decayedFailureRate returns the failure rate, which decays while no calls end so
 // that the upstream is tried again.
 func (s *state) decayedFailureRate(now time.Time) float64 {
--- a/internal/serve/balance/learned.go
+++ b/internal/serve/balance/learned.go
@@ -146,6 +146,7 @@
 func (b *Balancer) Choose(now time.Time, info PickInfo, candidates []catalog.Upstream) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	candidates = b.avoidCold(now, info, candidates)
 	if b.cfg.Model == nil {
 		u, ok := b.chooseBySlots(now, info, candidates)
 		if ok {
--- a/internal/serve/eligible/rules.go
+++ b/internal/serve/eligible/rules.go
@@ -1,6 +1,7 @@
 package eligible
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -10,6 +11,19 @@
 // Unknown is the wait for an upstream of which nobody knows when it may be called again.
 const Unknown = time.Duration(math.MaxInt64)
 
+// WaitError reports that a request was not sent because its upstream may not be called
+// now.
+type WaitError struct {
+	Upstream string
+	// Wait is how long it may not be called, Unknown if that is not known.
+	Wait time.Duration
+}
+
+// Error implements error.
+func (e *WaitError) Error() string {
+	return fmt.Sprintf("upstream %s may not be called now; use another or wait", e.Upstream)
+}
+
 // Rule keeps requests from upstreams.
 type Rule interface {
 	// Wait returns how long after now the upstream may not be called, 0 if it may be
