batcher, gateway, balance: wait for the share of a cold upstream

A call of pieces that was not sent because another request took the share is no failure of the upstream. Owners count upstreams that may be called again soon as slower ones, and refuse a job at once whose deadline passes before any may be called.

--- a/internal/dispatch/batcher/call.go
+++ b/internal/dispatch/batcher/call.go
@@ -150,10 +150,15 @@
 // recordFailure backs off from the upstream of a failed call and retries the pieces.
 // Only calls that may have run count as failures of their jobs.
 func (d *dispatcher) recordFailure(now time.Time, u catalog.Upstream, s *upstreamState, batch []batching.Piece, failed *callError) {
-	d.owner.cfg.Log.Warn("call with pieces failed",
-		zap.String("service", d.shard.key()), zap.String("upstream", u.ID), zap.Int("pieces", len(batch)),
-		zap.String("request", batch[0].Job.RequestID), zap.Error(failed.err))
-	s.backoffUntil = now.Add(failureBackoff)
+	switch {
+	case deferred(failed.err):
+		d.owner.cfg.Log.Debug("call with pieces deferred", zap.String("service", d.shard.key()), zap.String("upstream", u.ID), zap.Error(failed.err))
+	default:
+		d.owner.cfg.Log.Warn("call with pieces failed",
+			zap.String("service", d.shard.key()), zap.String("upstream", u.ID), zap.Int("pieces", len(batch)),
+			zap.String("request", batch[0].Job.RequestID), zap.Error(failed.err))
+		s.backoffUntil = now.Add(failureBackoff)
+	}
 	if failed.noCapacity {
 		s.backoffUntil = now.Add(capacityBackoff)
 	}
--- a/internal/dispatch/batcher/owner.go
+++ b/internal/dispatch/batcher/owner.go
@@ -215,6 +215,9 @@
 	d.recordAsked(now, request)
 	capacity := d.capacity(now)
 	retry, ok := d.queue.Admit(now, j, capacity)
+	if wait := d.blocked(now); ok && !d.fitsAfter(now, wait, j) {
+		retry, ok = wait, false
+	}
 	d.logShares(now)
 	if !ok {
 		d.owner.cfg.Log.Info("pieces refused",
@@ -238,43 +241,6 @@
 	return j.Completed()
 }
 
-// usable returns the upstreams that may be called and are neither silent nor in backoff,
-// or all that may be called if none qualifies.
-func (d *dispatcher) usable(now time.Time) []catalog.Upstream {
-	all, _ := d.owner.cfg.Rules.Filter(now, d.shard.includes(d.owner.cfg.Upstreams(d.shard.service)))
-	var out []catalog.Upstream
-	for _, u := range all {
-		if !u.Silent && !now.Before(d.upstream(u.ID).backoffUntil) {
-			out = append(out, u)
-		}
-	}
-	if len(out) == 0 {
-		return all
-	}
-	return out
-}
-
-// minSlowness returns the slowness of the fastest upstream. The slowness of the
-// others is measured relative to it, so that pieces do not wait for a faster
-// upstream if all are slow.
-func (d *dispatcher) minSlowness(now time.Time, upstreams []catalog.Upstream) float64 {
-	lowest := math.Inf(1)
-	for _, u := range upstreams {
-		lowest = min(lowest, d.factor(now, u.ID))
-	}
-	return lowest
-}
-
-// capacity returns the total speed of the usable upstreams, where an upstream whose
-// calls take their expected duration counts as 1.
-func (d *dispatcher) capacity(now time.Time) float64 {
-	sum := 0.0
-	for _, u := range d.usable(now) {
-		sum += 1 / d.factor(now, u.ID)
-	}
-	return sum
-}
-
 // upstream returns the state of an upstream, creating it if needed.
 func (d *dispatcher) upstream(id string) *upstreamState {
 	s := d.upstreams[id]
--- a/internal/serve/balance/balancer_test.go
+++ b/internal/serve/balance/balancer_test.go
@@ -126,3 +126,27 @@
 		t.Errorf("a recovered upstream got %d of 300 calls, want at least %d", got, least)
 	}
 }
+
+// Guards against cold upstreams that get load while others have free slots, also from a
+// popular prompt prefix, and against requests that are sent nowhere when only cold ones
+// are left.
+func TestColdUpstreamsAreAvoidedWhileOthersHaveSlots(t *testing.T) {
+	from := upstreams(4)
+	prefix := ""
+	for i := range 100 {
+		if u, _ := ByHash(fmt.Sprint("prefix-", i), from); u.ID == "u0" {
+			prefix = fmt.Sprint("prefix-", i)
+			break
+		}
+	}
+	b := New(Config{Zone: "z0", Random: rand.New(rand.NewPCG(1, 1)).IntN, Cold: func(_ time.Time, u catalog.Upstream) bool { return u.ID != "u3" }})
+	if got, want := fmt.Sprint(pick(b, 4, PickInfo{Prefix: prefix}, from)), "map[u3:4]"; got != want {
+		t.Errorf("with free slots at u3: got %s, want %s", got, want)
+	}
+	if got := pick(b, 8, PickInfo{}, from); got["u0"]+got["u1"]+got["u2"] < 6 {
+		t.Errorf("without a free slot at u3: got %v, want most at the others", got)
+	}
+	if _, ok := b.Pick(t0, PickInfo{}, from[:3]); !ok {
+		t.Error("nothing was chosen with only cold upstreams left")
+	}
+}
--- a/internal/serve/batching/queue.go
+++ b/internal/serve/batching/queue.go
@@ -87,6 +87,9 @@
 // Duration returns the expected time of a call with n pieces.
 func (q *Queue) Duration(n int) time.Duration { return q.cfg.Duration(n) }
 
+// FullDuration returns the expected time of a call with as many pieces as fit.
+func (q *Queue) FullDuration() time.Duration { return q.Duration(q.cfg.MaxBatch) }
+
 // rate returns the throughput of the upstreams with full batches, in pieces per
 // second. A slow upstream counts as a fraction of one.
 func (q *Queue) rate(upstreams float64) float64 {
