--- a/cmd/hawthornhub/cold.go
+++ b/cmd/hawthornhub/cold.go
@@ -44,6 +44,8 @@
 	perSecond  float64
 	// cold holds the IDs of the upstreams that were cold at the last update of the gauges.
 	cold map[string]bool
+	// scratch is reused by NextShare.
+	scratch []warmup.Upstream
 	// limited counts the requests that could not be written for lack of a share.
 	limited int64
 }
@@ -76,6 +78,11 @@
 	}
 	r.limiter.SetContact(r.now, warmup.Contact(contact))
 	r.contact = contact
+	r.useDocument()
+}
+
+// useDocument takes over the site document in force. The caller holds mu.
+func (r *coldRule) useDocument() {
 	if x := r.index(); x != r.document {
 		r.document, r.service = x, ""
 		r.configured = x != nil && slices.ContainsFunc(x.Services, func(s site.Service) bool { return s.ColdPerSecond > 0 })
@@ -91,7 +98,7 @@
 }
 
 // upstream returns what the decisions depend on of an upstream. The caller holds mu.
-func (r *coldRule) upstream(now time.Time, u catalog.Upstream) warmup.Upstream {
+func (r *coldRule) upstream(now time.Time, u *catalog.Upstream) warmup.Upstream {
 	if !r.configured {
 		return warmup.Upstream{ID: u.ID}
 	}
@@ -113,7 +120,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.facts(now)
-	return r.limiter.Wait(r.now, r.upstream(now, u))
+	return r.limiter.Wait(r.now, r.upstream(now, &u))
 }
 
 // Take counts a request that is written to an upstream right after it. The error is a
@@ -122,7 +129,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.facts(now)
-	if wait := r.limiter.Take(r.now, r.upstream(now, u)); wait > 0 {
+	if wait := r.limiter.Take(r.now, r.upstream(now, &u)); wait > 0 {
 		r.limited++
 		return &eligible.WaitError{Upstream: u.ID, Wait: wait}
 	}
@@ -133,35 +140,49 @@
 func (r *coldRule) Cold(now time.Time, u catalog.Upstream) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.useDocument()
+	if !r.configured {
+		return false
+	}
 	r.facts(now)
-	return r.limiter.Limits(r.upstream(now, u))
+	return r.limiter.Limits(r.upstream(now, &u))
+}
+
+// Applies implements eligible.BatchRule.
+func (r *coldRule) Applies() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.useDocument()
+	return r.configured
+}
+
+// WaitAll implements eligible.BatchRule.
+func (r *coldRule) WaitAll(now time.Time, candidates []catalog.Upstream, waits []time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.facts(now)
+	for i := range candidates {
+		waits[i] = max(waits[i], r.limiter.Wait(r.now, r.upstream(now, &candidates[i])))
+	}
 }
 
 // NextShare returns how long after now a request may be sent to one of the upstreams that
-// has a number of others ahead of it, by all rules.
+// has a number of others ahead of it, by this rule and the others in the list.
 func (r *coldRule) NextShare(now time.Time, rules eligible.Rules, upstreams []catalog.Upstream, ahead int) time.Duration {
-	var cold []warmup.Upstream
-	open := eligible.Unknown
+	others := slices.DeleteFunc(slices.Clone(rules), func(rule eligible.Rule) bool { return rule == eligible.Rule(r) })
+	waits := others.WaitAll(now, upstreams)
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.facts(now)
-	r.mu.Unlock()
-	for _, u := range upstreams {
-		wait := time.Duration(0)
-		for _, rule := range rules {
-			if rule != eligible.Rule(r) {
-				wait = max(wait, rule.Wait(now, u))
-			}
-		}
-		if wait > 0 {
-			open = min(open, wait)
+	cold, open := r.scratch[:0], eligible.Unknown
+	for i := range upstreams {
+		if waits != nil && waits[i] > 0 {
+			open = min(open, waits[i])
 			continue
 		}
-		r.mu.Lock()
-		cold = append(cold, r.upstream(now, u))
-		r.mu.Unlock()
+		cold = append(cold, r.upstream(now, &upstreams[i]))
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.scratch = cold
 	return min(open, r.limiter.Next(r.now, cold, ahead))
 }
 
@@ -181,7 +202,7 @@
 	known, cold := make(map[string]bool, len(upstreams)), make(map[string]bool)
 	for _, u := range upstreams {
 		known[u.ID] = true
-		w := r.upstream(now, u)
+		w := r.upstream(now, &u)
 		if w.PerSecond == 0 || !w.Cold || u.State != catalog.Ready {
 			continue
 		}
--- a/internal/serve/eligible/rules.go
+++ b/internal/serve/eligible/rules.go
@@ -44,31 +44,63 @@
 	return longest
 }
 
+// BatchRule is a Rule that decides on many upstreams at less cost than on each.
+type BatchRule interface {
+	Rule
+	// Applies reports whether any upstream may have to wait at the moment.
+	Applies() bool
+	// WaitAll raises the wait of each candidate that has to wait for longer. waits has as
+	// many elements as candidates.
+	WaitAll(now time.Time, candidates []catalog.Upstream, waits []time.Duration)
+}
+
+// WaitAll returns the longest wait of all rules for each candidate, nil if none has to
+// wait.
+func (r Rules) WaitAll(now time.Time, candidates []catalog.Upstream) []time.Duration {
+	var waits []time.Duration
+	for _, rule := range r {
+		batch, ok := rule.(BatchRule)
+		if ok && !batch.Applies() {
+			continue
+		}
+		if waits == nil {
+			waits = make([]time.Duration, len(candidates))
+		}
+		if ok {
+			batch.WaitAll(now, candidates, waits)
+			continue
+		}
+		for i, u := range candidates {
+			waits[i] = max(waits[i], rule.Wait(now, u))
+		}
+	}
+	return waits
+}
+
 // Filter returns the candidates that may be called now. wait is the time after which the
 // first of the others may be called: 0 if there are no others, Unknown if no end is known.
 // The result may share the array of candidates, which must not be modified.
 func (r Rules) Filter(now time.Time, candidates []catalog.Upstream) (callable []catalog.Upstream, wait time.Duration) {
-	if len(r) == 0 {
-		return candidates, 0
-	}
+	waits := r.WaitAll(now, candidates)
 	wait = Unknown
-	excluded := false
-	for i, u := range candidates {
-		w := r.Wait(now, u)
-		if w == 0 {
-			if excluded {
-				callable = append(callable, u)
-			}
-			continue
+	excluded := 0
+	for _, w := range waits {
+		if w > 0 {
+			excluded++
+			wait = min(wait, w)
 		}
-		if !excluded {
-			excluded = true
-			callable = append(make([]catalog.Upstream, 0, len(candidates)-1), candidates[:i]...)
-		}
-		wait = min(wait, w)
 	}
-	if !excluded {
+	if excluded == 0 {
 		return candidates, 0
 	}
+	if excluded == len(candidates) {
+		return nil, wait
+	}
+	callable = make([]catalog.Upstream, 0, len(candidates)-excluded)
+	for i, w := range waits {
+		if w == 0 {
+			callable = append(callable, candidates[i])
+		}
+	}
 	return callable, wait
 }
--- a/internal/serve/warmup/limiter.go
+++ b/internal/serve/warmup/limiter.go
@@ -62,10 +62,16 @@
 	startedAt, majorityAt, joinedAt time.Duration
 	standing                        standing
 	upstreams                       map[string]*upstreamState
+	// last is the state that was looked up last.
+	last *upstreamState
 }
 
 // upstreamState is what is known of one upstream.
 type upstreamState struct {
+	id string
+	// next is the state that was looked up after this one the last time. Decisions go
+	// through the same upstreams in the same order, which saves most look-ups in the map.
+	next *upstreamState
 	window window
 	// rank is that of this entry among the members of the given version, share its share
 	// in the given standing.
@@ -165,11 +171,19 @@
 }
 
 func (l *Limiter) state(id string) *upstreamState {
+	if l.last != nil && l.last.next != nil && l.last.next.id == id {
+		l.last = l.last.next
+		return l.last
+	}
 	s := l.upstreams[id]
 	if s == nil {
-		s = &upstreamState{}
+		s = &upstreamState{id: id}
 		l.upstreams[id] = s
 	}
+	if l.last != nil {
+		l.last.next = s
+	}
+	l.last = s
 	return s
 }
 
@@ -219,7 +233,9 @@
 
 // Retain drops what is known of the upstreams for which keep returns false.
 func (l *Limiter) Retain(keep func(id string) bool) {
-	for id := range l.upstreams {
+	l.last = nil
+	for id, s := range l.upstreams {
+		s.next = nil
 		if !keep(id) {
 			delete(l.upstreams, id)
 		}
