--- a/internal/operator/settings/site_test.go
+++ b/internal/operator/settings/site_test.go
@@ -80,6 +80,7 @@
 // settings files of earlier deployments that are refused.
 func TestColdSettings(t *testing.T) {
 	for text, want := range map[string]string{
+		"cold.over = 2\ncold.slack = 3": "",
 		"":                              "",
 		"[cold]\nover = 2\n":            "",
 		"[cold]\nover = 1.5\nslack = 0": "",
