--- a/internal/serve/warmup/limiter.go
+++ b/internal/serve/warmup/limiter.go
@@ -71,7 +71,7 @@
 	id string
 	// next is the state that was looked up after this one the last time. Decisions go
 	// through the same upstreams in the same order, which saves most look-ups in the map.
-	next *upstreamState
+	next   *upstreamState
 	window window
 	// rank is that of this entry among the members of the given version, share its share
 	// in the given standing.
