--- a/internal/api/registry/server.go
+++ b/internal/api/registry/server.go
@@ -132,7 +132,8 @@
 	if outcome != catalog.Refreshed {
 		s.cfg.Log.Info("upstream announced itself",
 			zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("address", u.Address),
-			zap.Stringer("state", u.State), zap.Int64("born", u.StartTimeMs), zap.Uint64("seq", u.Seq), zap.Stringer("outcome", outcome))
+			zap.Stringer("state", u.State), zap.Int64("born", u.StartTimeMs), zap.Uint64("seq", u.Seq), zap.Stringer("outcome", outcome),
+			zap.Duration("cold", max(0, time.Until(u.ColdUntil))))
 	}
 	if len(untold) == 0 {
 		return nil
