--- a/internal/serve/balance/balancer_test.go
+++ b/internal/serve/balance/balancer_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
+	"hawthornhub.example/hawthornhub/internal/serve/capacity"
 )
 
 var t0 = time.Unix(1_790_000_000, 0)
@@ -149,4 +150,20 @@
 	if _, ok := b.Pick(t0, PickInfo{}, from[:3]); !ok {
 		t.Error("nothing was chosen with only cold upstreams left")
 	}
+	b.Done(t0, "u3", DoneInfo{Unreachable: true})
+	for _, info := range []PickInfo{{}, {Exclude: []string{"u3"}}} {
+		if u, ok := b.Pick(t0, info, from); !ok || u.ID == "u3" {
+			t.Errorf("%+v: got %q, want a cold upstream as the others cannot be used", info, u.ID)
+		}
+	}
+}
+
+// Guards against the learned choice, which looks at more than slots, insisting on a cold
+// upstream.
+func TestLearnedChoiceAvoidsColdUpstreams(t *testing.T) {
+	from := upstreams(4)
+	b := New(Config{Zone: "z0", Random: rand.New(rand.NewPCG(1, 1)).IntN, Model: capacity.NewModel(), Cold: func(_ time.Time, u catalog.Upstream) bool { return u.ID != "u3" }})
+	if got, want := fmt.Sprint(pick(b, 4, PickInfo{Prefix: "p"}, from)), "map[u3:4]"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
 }
