evacuation, watch, hawthornhub: the upstreams of a restored zone count as cold until they say otherwise

They may have become cold shortly before the end of an evacuation, and a heartbeat that says so may be a second away. Each process marks the zone with the log index of the end; an announcement to a registry with the same or a higher mark lifts it.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -72,8 +72,6 @@
 	cold *coldRule
 	// zones keeps requests from evacuated availability zones.
 	zones *zonefilter.Filter
-	// zoneRestored is called with each zone whose evacuation has ended.
-	zoneRestored func(zone string)
 	// capacity is what is learned of the upstreams, nil if that is not enabled.
 	capacity *capacity.Model
 	// pooling exchanges it with other gateways.
@@ -122,7 +120,6 @@
 	g.breakers = breaker.NewGuard(breaker.GuardConfig{Report: g.reportPrompts, Rank: g.trialRank, Log: g.log})
 	g.upstreams = catalog.New(catalog.Config{OnChange: g.onUpstreamChange})
 	g.zones = zonefilter.New(zonefilter.Config{Random: rand.Float64})
-	g.zoneRestored = func(string) {}
 	g.rules = eligible.Rules{g.zones, g.cold}
 	g.transport = transport.NewPool(transport.Config{Classify: platform.Classify, Permit: g.permitSend, Log: g.log})
 	g.batchOwner = batcher.NewOwner(batcher.Config{
--- a/cmd/hawthornhub/zones.go
+++ b/cmd/hawthornhub/zones.go
@@ -13,8 +13,10 @@
 // applyEvacuations puts evacuated zones in force. When it returns, no request is written to
 // an upstream there any more, and the connections that are not in use are closed.
 func (g *gatewayProcess) applyEvacuations(e *statepb.Evacuations) {
-	now := time.Now()
-	begun, ended := g.zones.Apply(now, e)
+	// The upstreams of a restored zone may have become cold just before. They count as cold
+	// until they have announced themselves again.
+	evacuation.MarkRevoked(e, g.upstreams.MarkCold)
+	begun, ended := g.zones.Apply(time.Now(), e)
 	for _, u := range g.upstreams.All() {
 		if g.zones.Evacuated(u.Zone) {
 			g.transport.Forget(u.ID)
@@ -22,9 +24,6 @@
 	}
 	g.log.Info("evacuated zones in force", zap.Strings("zones", evacuation.Zones(e)), zap.Uint64("index", e.GetIndex()),
 		zap.Strings("begun", begun), zap.Strings("ended", ended))
-	for _, zone := range ended {
-		g.zoneRestored(zone)
-	}
 }
 
 // availableUpstreams returns the ready upstreams of a service in zones that are not
--- a/internal/fleet/watch/evacuations.go
+++ b/internal/fleet/watch/evacuations.go
@@ -21,6 +21,7 @@
 		return
 	}
 	h.evacuations = e
+	evacuation.MarkRevoked(e, h.cfg.Table.MarkCold)
 	h.publish(key{kind: evacuationChange})
 	h.cfg.Log.Info("evacuated zones published", zap.Strings("zones", evacuation.Zones(e)), zap.Uint64("index", e.GetIndex()))
 }
--- a/internal/fleet/watch/evacuations_test.go
+++ b/internal/fleet/watch/evacuations_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/state/evacuation"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
@@ -188,3 +189,26 @@
 		}
 	}
 }
+
+// Guards against a burst at the upstreams of a restored zone, which may have become cold
+// shortly before without having said so yet.
+func TestUpstreamsOfRestoredZoneCountAsCold(t *testing.T) {
+	c := newControlInstance(t)
+	u := upstream("a", catalog.Ready, 1)
+	u.Zone = "z1"
+	c.table.Announce(u)
+	c.hub.SetEvacuations(evacuationOf(3, "z1"))
+	restored := evacuationOf(5, "z1")
+	restored.Zones[0].Revoked = true
+	c.hub.SetEvacuations(restored)
+	known, _ := c.table.Get("a")
+	if _, cold := known.Cold(time.Now()); !cold {
+		t.Error("the upstream does not count as cold after its zone was restored")
+	}
+	u.Seq++
+	c.table.Announce(u)
+	known, _ = c.table.Get("a")
+	if _, cold := known.Cold(time.Now()); cold {
+		t.Error("the upstream counts as cold although it has said since that it is not")
+	}
+}
--- a/internal/state/evacuation/evacuation.go
+++ b/internal/state/evacuation/evacuation.go
@@ -132,6 +132,16 @@
 	return 0
 }
 
+// MarkRevoked calls mark with each zone whose evacuation was revoked and the log index of
+// that.
+func MarkRevoked(e *statepb.Evacuations, mark func(zone string, index uint64)) {
+	for _, z := range e.GetZones() {
+		if z.Revoked {
+			mark(z.Zone, z.Index)
+		}
+	}
+}
+
 // Zones returns the names of the evacuated zones, sorted.
 func Zones(e *statepb.Evacuations) []string {
 	var out []string
