backoff, eligible, transport, gateway, batcher, watch: heed what upstreams say of themselves

Upstreams say in their answers that they leave (Server-Leaving) or that they want nothing for a while (Retry-After on a 503).

The entry stops at once and tells the control instances of an upstream that leaves as if it had announced that it drains; they tell the other entries. A table accepts a later state of the same start whatever its number, because an entry does not know the newest number. Requests and jobs wait for closed upstreams if they can still be answered in time, within the memory that answers are held in, and are refused at once otherwise. Back-pressure is no failure.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -26,6 +26,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/fleet/watch"
 	"hawthornhub.example/hawthornhub/internal/operator/settings"
+	"hawthornhub.example/hawthornhub/internal/serve/backoff"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
 	"hawthornhub.example/hawthornhub/internal/serve/capacity"
 	"hawthornhub.example/hawthornhub/internal/serve/eligible"
@@ -79,13 +80,16 @@
 	// pooling exchanges it with other gateways.
 	pooling      atomic.Pointer[pooling.Exchange]
 	poolingLinks *link.Pool
-	balancer     *balance.Balancer
-	breakers     *breaker.Guard
-	transport    *transport.Pool
-	batchOwner   *batcher.Owner
-	batchRouter  *batcher.Router
-	server       *gateway.Server
-	follower     atomic.Pointer[watch.Follower]
+	// backoffs is what upstreams said of themselves in their answers, which is one of
+	// the rules.
+	backoffs    *backoff.Table
+	balancer    *balance.Balancer
+	breakers    *breaker.Guard
+	transport   *transport.Pool
+	batchOwner  *batcher.Owner
+	batchRouter *batcher.Router
+	server      *gateway.Server
+	follower    atomic.Pointer[watch.Follower]
 	// batchOwners caches the result of batchOwnerAddresses.
 	batchOwners atomic.Pointer[batchOwners]
 	linkServer  *link.Server
@@ -120,16 +124,24 @@
 	}
 	g.balancer = balance.New(balance.Config{Zone: s.Zone, Random: rand.IntN, Model: g.capacity, Cold: g.cold.Cold})
 	g.breakers = breaker.NewGuard(breaker.GuardConfig{Report: g.reportPrompts, Rank: g.trialRank, Log: g.log})
+	g.backoffs = backoff.NewTable(backoff.Config{Random: rand.Float64})
 	g.upstreams = catalog.New(catalog.Config{OnChange: g.onUpstreamChange})
 	g.zones = zonefilter.New(zonefilter.Config{Random: rand.Float64})
 	g.zoneRestored = func(string) {}
-	g.rules = eligible.Rules{g.zones, g.cold}
-	g.transport = transport.NewPool(transport.Config{Classify: platform.Classify, Permit: g.permitSend, Log: g.log})
+	g.rules = eligible.Rules{g.zones, g.cold, eligible.Backoff{Table: g.backoffs, Now: watch.BootTime}}
+	g.transport = transport.NewPool(transport.Config{
+		Classify: platform.Classify,
+		Permit:   g.permitSend,
+		Admit:    g.admitSend,
+		OnSignal: g.observeSignal,
+		Log:      g.log,
+	})
 	g.batchOwner = batcher.NewOwner(batcher.Config{
 		Send:      g.transport.Send,
 		Codec:     platform.PieceCodec(),
 		Upstreams: g.availableUpstreams,
 		Rules:     g.rules,
+		Holder:    g.resultHolder,
 		Service:   g.findService,
 		Model:     g.capacity,
 		Fair:      g.sharesByAccount,
@@ -142,6 +154,8 @@
 		AwaitCurrent:   g.awaitCurrent,
 		UpstreamEnded:  g.upstreamEnded,
 		Upstreams:      g.offeredUpstreams,
+		AllLeave:       g.allLeave,
+		AskedToWait:    g.askedToWait,
 		Rules:          g.rules,
 		Evacuated:      g.evacuatedUpstreams,
 		NextCall:       g.nextCall,
@@ -291,14 +305,20 @@
 
 // permitSend returns an error if no request may be sent to an upstream any more. The
 // gateway may have been suspended since it chose the upstream.
-func (g *gatewayProcess) permitSend(ctx context.Context, t transport.Target) error {
+func (g *gatewayProcess) permitSend(ctx context.Context, t transport.Target, r transport.Request) error {
 	if err := g.awaitCurrent(ctx); err != nil {
 		return err
 	}
 	u, ok := g.upstreams.Get(t.ID)
+	if ok && r.Cleanup && u.StartTimeMs == t.StartTimeMs && g.takesReleases(u) {
+		return nil
+	}
 	if !ok || u.State != catalog.Ready {
 		return fmt.Errorf("upstream %s takes no requests any more; use another", t.ID)
 	}
+	if err := g.checkClosed(u); err != nil {
+		return err
+	}
 	now := time.Now()
 	if wait := g.rules.Wait(now, u); wait > 0 {
 		return &eligible.WaitError{Upstream: t.ID, Wait: wait}
@@ -326,6 +346,7 @@
 	g.log.Info("upstream changed",
 		zap.String("upstream", after.ID), zap.String("service", after.Service), zap.String("address", after.Address),
 		zap.Stringer("before", before.State), zap.Stringer("state", after.State), zap.Int64("born", after.StartTimeMs), zap.Uint64("seq", after.Seq))
+	g.endEarlierStarts(after)
 	if after.State != catalog.Ready {
 		g.transport.Forget(after.ID)
 	}
@@ -437,6 +458,7 @@
 	scope.Gauge("documents_received").Update(float64(received.Documents))
 	scope.Gauge("document_received_bytes").Update(float64(received.DocumentBytes))
 	g.updateAccounts(scope)
+	g.updateBackoffs(scope)
 	halfOpen, open := g.breakers.Counts()
 	scope.Gauge("breakers_half_open").Update(float64(halfOpen))
 	scope.Gauge("breakers_open").Update(float64(open))
--- a/internal/api/gateway/held.go
+++ b/internal/api/gateway/held.go
@@ -10,8 +10,8 @@
 	defaultHeldBytes = 32 << 20
 )
 
-// heldMemory limits what all answers hold together before it can be forwarded. It is safe
-// for concurrent use.
+// heldMemory limits what all answers hold together before it can be forwarded, and all
+// requests that wait for an upstream. It is safe for concurrent use.
 type heldMemory struct {
 	limit int64
 	used  atomic.Int64
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -97,6 +97,10 @@
 		q.server.writeFailure(w, q, f)
 		return
 	}
+	if f := q.checkCallable(); f != nil {
+		q.server.writeFailure(w, q, f)
+		return
+	}
 	q.server.budget(q.service.Name).Deposit(q.server.cfg.Retry.Ratio * ratioShare)
 	unsentCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -162,9 +166,8 @@
 		}
 		choice, wait, ok := q.pickUpstream()
 		if !ok {
-			waited, wait := q.awaitCallable(ctx, wait)
-			if !waited {
-				return nil, orElse(last, unavailable("no upstream of the service may be called now", retryAfterWait(wait)))
+			if f := q.awaitUpstream(ctx, wait, last); f != nil {
+				return nil, f
 			}
 			picks--
 			continue
@@ -186,6 +189,9 @@
 		if !retry {
 			return nil, f
 		}
+		if f.closed {
+			picks--
+		}
 	}
 	return nil, last
 }
@@ -198,13 +204,6 @@
 // upstream may be sent at the moment, which does not count as a pick.
 const maxDeferrals = 32
 
-func orElse(f, other *failure) *failure {
-	if f != nil {
-		return f
-	}
-	return other
-}
-
 // contextFailure returns the failure of a request whose context ended before an
 // upstream answered; last is the failure of the previous attempt, if any.
 func (q *request) contextFailure(last *failure) *failure {
@@ -293,7 +292,7 @@
 	s := q.server
 	q.tried = append(q.tried, u.ID)
 	q.upstream, q.sentAt, q.begunAt, q.begunReported = u, time.Now(), time.Time{}, false
-	t := transport.Target{ID: u.ID, Address: u.Address, MaxConnections: q.maxConnections()}
+	t := transport.Target{ID: u.ID, Address: u.Address, StartTimeMs: u.StartTimeMs, MaxConnections: q.maxConnections()}
 	q.attempts++
 	outcome := s.cfg.Send(ctx, t, q.upstreamRequest(u))
 	now := time.Now()
@@ -303,12 +302,19 @@
 	case transport.Rejected:
 		s.cfg.Balancer.End(now, q.choice, balance.DoneInfo{
 			Full: true, Report: o.Reply.Load,
-			CapacityUnknown: o.Status != http.StatusServiceUnavailable && o.Status != http.StatusTooManyRequests,
+			CapacityUnknown: o.Status != http.StatusServiceUnavailable && o.Status != http.StatusTooManyRequests || asksToWait(o.Reply),
 		})
 		f = unavailable(fmt.Sprintf("the upstream did not take the request: status %d", o.Status), defaultRetryAfter)
 		if f.inputsExpired = o.Status == http.StatusConflict && len(q.stages) > 0; f.inputsExpired {
 			return nil, f, false
 		}
+		if asksToWait(o.Reply) {
+			if !q.allowReturn(u, o.Reply) {
+				return nil, q.rejected(f), false
+			}
+			f.closed = true
+			return nil, f, true
+		}
 		return nil, f, q.allowRetry(u, "rejected by the upstream", nil)
 	case transport.NotSent:
 		q.attempts--
@@ -316,6 +322,10 @@
 			s.cfg.Balancer.Cancel(q.choice)
 			return nil, f, true
 		}
+		if q.keptBack(u, o.Err) {
+			s.cfg.Balancer.Cancel(q.choice)
+			return nil, &failure{status: http.StatusServiceUnavailable, reason: o.Err.Error(), closed: true}, true
+		}
 		s.cfg.Balancer.End(now, q.choice, balance.DoneInfo{Unreachable: !o.Local})
 		q.logAttempt("could not send request to upstream", u, o.Err)
 		if ctx.Err() != nil {
@@ -343,12 +353,18 @@
 // request is retried.
 func (q *request) handleResponse(now time.Time, u catalog.Upstream, o *transport.Answered) (*transport.Answered, *failure, bool) {
 	q.mayHaveRun = true
-	failed := o.Status >= http.StatusInternalServerError
-	if failed && q.idempotent() && q.allowRetry(u, fmt.Sprintf("status %d", o.Status), nil) {
+	if upstreamFailed(o) && q.idempotent() && q.allowRetry(u, fmt.Sprintf("status %d", o.Status), nil) {
 		o.Close()
 		q.server.cfg.Balancer.End(now, q.choice, balance.DoneInfo{Failed: true, Report: o.Reply.Load})
 		return nil, badGateway(fmt.Sprintf("the upstream failed: status %d", o.Status), nil), true
 	}
+	if asksToWait(o.Reply) && q.idempotent() && q.allowReturn(u, o.Reply) {
+		o.Close()
+		q.server.cfg.Balancer.End(now, q.choice, balance.DoneInfo{Report: o.Reply.Load})
+		f := badGateway(fmt.Sprintf("the upstream wants no requests: status %d", o.Status), nil)
+		f.closed = true
+		return nil, f, true
+	}
 	if o.Reply.Load != nil {
 		q.server.cfg.Balancer.Report(now, u.ID, *o.Reply.Load)
 	}
@@ -358,12 +374,21 @@
 // allowRetry reports whether the request may be sent once more. If so, it takes
 // one retry from the budget and logs the reason.
 func (q *request) allowRetry(u catalog.Upstream, reason string, err error) bool {
-	if q.attempts >= max(1, q.route.MaxAttempts) || q.waitingEnds >= maxWaitingEnds || !q.server.budget(q.service.Name).TryWithdraw() {
+	if !q.attemptsLeft() || !q.server.budget(q.service.Name).TryWithdraw() {
 		return false
 	}
+	q.recordRetry(u, reason, err)
+	return true
+}
+
+// attemptsLeft reports whether the limits of the request itself allow another attempt.
+func (q *request) attemptsLeft() bool {
+	return q.attempts < max(1, q.route.MaxAttempts) && q.waitingEnds < maxWaitingEnds
+}
+
+func (q *request) recordRetry(u catalog.Upstream, reason string, err error) {
 	q.logAttempt("retrying request: "+reason, u, err)
 	q.server.cfg.Metrics.Counter("sent_again").Inc(1)
-	return true
 }
 
 func (q *request) logAttempt(message string, u catalog.Upstream, err error) {
--- a/internal/api/gateway/response.go
+++ b/internal/api/gateway/response.go
@@ -68,7 +68,7 @@
 		if err == nil && a.Status < http.StatusMultipleChoices {
 			q.server.cfg.Balancer.Begun(time.Now(), q.choice)
 		}
-		q.server.cfg.Balancer.End(time.Now(), q.choice, balance.DoneInfo{Failed: err != nil && ctx.Err() == nil || a.Status >= http.StatusInternalServerError})
+		q.server.cfg.Balancer.End(time.Now(), q.choice, balance.DoneInfo{Failed: err != nil && ctx.Err() == nil || upstreamFailed(a)})
 	}
 	if err != nil {
 		q.recordBreak(ctx, err)
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -46,6 +46,12 @@
 	UpstreamEnded func(ctx context.Context, u catalog.Upstream) bool
 	// Upstreams returns the available upstreams of a service.
 	Upstreams func(service string) []catalog.Upstream
+	// AllLeave is asked about a service without available upstreams. It reports whether
+	// the last ones have said in answers that they leave; nil stands for no.
+	AllLeave func(service string) bool
+	// AskedToWait reports whether an upstream of a service has asked for no requests for a
+	// while; nil stands for no.
+	AskedToWait func(service string) bool
 	// Rules tell which of them may be called at the moment.
 	Rules eligible.Rules
 	// Evacuated returns the number of upstreams of a service that Upstreams leaves out
@@ -85,8 +91,8 @@
 	// requests from callers. It is at least 1.
 	EntryCount func() int
 	Retry      RetryBudget
-	// HeldBytes is the memory for what answers hold before it can be forwarded, 0 for 32
-	// MiB.
+	// HeldBytes is the memory for what answers hold before it can be forwarded and for
+	// requests that wait for an upstream, 0 for 32 MiB.
 	HeldBytes int64
 	// Zone is the availability zone of this process.
 	Zone    string
@@ -127,7 +133,7 @@
 	// starts.
 	stopAt   atomic.Value
 	inFlight atomic.Int64
-	// held is what answers hold before it can be forwarded.
+	// held is what answers hold before it can be forwarded, and waiting requests.
 	held    heldMemory
 	sharing sharing
 	// waiting counts the requests of each service by name that wait until an upstream may
@@ -350,6 +356,11 @@
 	inputsExpired bool
 	// deferred is set if the upstream may not be called now and the request was not sent.
 	deferred bool
+	// closed is set if the upstream is not to be called for a while, by its own words. The
+	// request may be sent to it afterwards.
+	closed bool
+	// service is the service of which no upstream may be called, if that is the reason.
+	service string
 	// segment is the prompt segment whose breaker is not closed, if that is the reason.
 	segment string
 	err     error
@@ -361,6 +372,9 @@
 	if f.segment != "" {
 		out = append(out, zap.String("segment", f.segment))
 	}
+	if f.service != "" {
+		out = append(out, zap.String("service", f.service))
+	}
 	return out
 }
 
@@ -379,7 +393,7 @@
 // attempt may have run.
 func (s *Server) writeFailure(w http.ResponseWriter, q *request, f *failure) {
 	if q.mayHaveRun && f.status == http.StatusServiceUnavailable {
-		f = &failure{status: http.StatusBadGateway, reason: f.reason, segment: f.segment, err: f.err}
+		f = &failure{status: http.StatusBadGateway, reason: f.reason, segment: f.segment, service: f.service, err: f.err}
 	}
 	f = s.shareRefusal(q, f)
 	s.cfg.Metrics.Tagged(map[string]string{"status": strconv.Itoa(f.status)}).Counter("refused").Inc(1)
--- a/internal/api/gateway/stream.go
+++ b/internal/api/gateway/stream.go
@@ -197,7 +197,7 @@
 	}
 	if next.Status != http.StatusOK {
 		next.Close()
-		s.server.cfg.Balancer.End(time.Now(), s.choice, balance.DoneInfo{Failed: true})
+		s.server.cfg.Balancer.End(time.Now(), s.choice, balance.DoneInfo{Failed: !asksToWait(next.Reply)})
 		return nil, f
 	}
 	return next, nil
--- a/internal/api/gateway/wait.go
+++ b/internal/api/gateway/wait.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -70,12 +71,21 @@
 		wait = s.cfg.NextCall(time.Now(), q.untried(), ahead)
 	}
 	wait = max(minCallableWait, wait)
-	if wait == eligible.Unknown || wait > q.waitLimit() || s.draining.Load() {
+	limit, spread := q.waitLimit(), time.Duration(0)
+	if q.askedToWait() {
+		limit, spread = q.timeToAbandon(), rand.N(maxWaitSpread)
+	}
+	if wait == eligible.Unknown || wait > limit || s.draining.Load() {
+		return false, wait
+	}
+	bytes := waitingBytes + int64(len(q.body))
+	if !s.held.reserve(bytes) {
 		return false, wait
 	}
+	defer s.held.release(bytes)
 	s.cfg.Metrics.Counter("waited_for_upstream").Inc(1)
 	s.cfg.Log.Debug("request waits for an upstream", q.fields(zap.Duration("wait", wait), zap.Int("ahead", ahead))...)
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(wait + spread)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/dispatch/agent/doc.go
+++ b/internal/dispatch/agent/doc.go
@@ -10,6 +10,12 @@
 // entry disconnects is canceled on the upstream; an at-most-once call runs to its
 // end, and its outcome is kept for later queries.
 //
+// The headers Server-Leaving and Retry-After, which entries without agents heed, mean nothing
+// here: the protocol of package upstream is the product's own and defines neither. An upstream
+// leaves by the drain of its agent, which refuses calls at once and tells all entries. One that
+// wants less work announces fewer slots: the agent is its only sender and never exceeds them,
+// and the entries see the backlog in each queue report.
+//
 // # Usage
 //
 //	a := agent.Start(agent.Config{Name: name, System: system, ...})
--- a/internal/dispatch/batcher/call.go
+++ b/internal/dispatch/batcher/call.go
@@ -12,6 +12,7 @@
 
 	"hawthornhub.example/hawthornhub/internal/dispatch/transport"
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
+	"hawthornhub.example/hawthornhub/internal/serve/backoff"
 	"hawthornhub.example/hawthornhub/internal/serve/batching"
 )
 
@@ -26,7 +27,8 @@
 type callError struct {
 	// unreachable is set if the request was not sent.
 	unreachable bool
-	// noCapacity is set if the upstream rejected the call for lack of capacity.
+	// noCapacity is set if the upstream rejected the call for lack of capacity, or wants
+	// no calls for a while.
 	noCapacity bool
 	err        error
 }
@@ -68,7 +70,8 @@
 	}
 	switch o := d.owner.cfg.Send(ctx, t, request).(type) {
 	case transport.NotSent:
-		return nil, &callError{unreachable: true, err: o.Err}
+		var closed *backoff.ClosedError
+		return nil, &callError{unreachable: true, noCapacity: errors.As(o.Err, &closed), err: o.Err}
 	case transport.Unknown:
 		return nil, &callError{err: o.Err}
 	case transport.Rejected:
@@ -89,7 +92,7 @@
 		return nil, &callError{err: fmt.Errorf("read answer: %w", err)}
 	}
 	if o.Status != http.StatusOK {
-		return nil, &callError{err: fmt.Errorf("the call was answered with status %d", o.Status)}
+		return nil, &callError{noCapacity: o.Reply.Signal.RetryAfter > 0, err: fmt.Errorf("the call was answered with status %d", o.Status)}
 	}
 	outputs, err := d.owner.cfg.Codec.DecodeOutputs(body)
 	if err != nil {
@@ -112,7 +115,7 @@
 }
 
 func (d *dispatcher) target(u catalog.Upstream) transport.Target {
-	return transport.Target{ID: u.ID, Address: u.Address}
+	return transport.Target{ID: u.ID, Address: u.Address, StartTimeMs: u.StartTimeMs}
 }
 
 func (d *dispatcher) items(batch []batching.Piece) []Item {
@@ -251,21 +254,38 @@
 	if len(handles) == 0 {
 		return
 	}
-	byAddress := make(map[string][]string)
-	for _, h := range handles {
-		address := o.cfg.Codec.HolderAddress(h)
-		byAddress[address] = append(byAddress[address], h)
+	for u, held := range o.byHolder(s, handles) {
+		if o.ctx.Err() != nil {
+			return
+		}
+		o.wg.Add(1)
+		go func() {
+			defer o.wg.Done()
+			o.sendRelease(u, held)
+			o.recordRelease(s, u.ID, held)
+		}()
 	}
+}
+
+// byHolder sorts results by the upstream that holds them. It leaves out those of upstreams
+// that take no releases.
+func (o *Owner) byHolder(s shard, handles []string) map[catalog.Upstream][]string {
+	upstreams := make(map[string]catalog.Upstream)
 	for _, u := range o.cfg.Upstreams(s.service) {
-		if held := byAddress[u.Address]; len(held) > 0 && o.ctx.Err() == nil {
-			o.wg.Add(1)
-			go func() {
-				defer o.wg.Done()
-				o.sendRelease(transport.Target{ID: u.ID, Address: u.Address}, held)
-				o.recordRelease(s, u.ID, held)
-			}()
+		upstreams[u.Address] = u
+	}
+	out := make(map[catalog.Upstream][]string)
+	for _, h := range handles {
+		address := o.cfg.Codec.HolderAddress(h)
+		u, ok := upstreams[address]
+		if !ok && o.cfg.Holder != nil {
+			u, ok = o.cfg.Holder(address)
+		}
+		if ok {
+			out[u] = append(out[u], h)
 		}
 	}
+	return out
 }
 
 // recordRelease accounts for the memory that an upstream has regained, and dispatches
@@ -283,7 +303,8 @@
 
 // sendRelease asks an upstream to release results. It makes one attempt: results that
 // are not released expire.
-func (o *Owner) sendRelease(t transport.Target, handles []string) {
+func (o *Owner) sendRelease(u catalog.Upstream, handles []string) {
+	t := transport.Target{ID: u.ID, Address: u.Address, StartTimeMs: u.StartTimeMs}
 	ctx, cancel := context.WithTimeout(o.ctx, releaseTimeout)
 	defer cancel()
 	request, err := o.cfg.Codec.EncodeRelease(t, handles)
@@ -291,6 +312,7 @@
 		o.cfg.Log.Error("cannot encode release of results", zap.Error(err))
 		return
 	}
+	request.Cleanup, request.Close = true, u.State != catalog.Ready
 	answered, ok := o.cfg.Send(ctx, t, request).(*transport.Answered)
 	if !ok {
 		o.cfg.Log.Debug("results not released; they will expire", zap.String("upstream", t.ID), zap.Int("results", len(handles)))
--- a/internal/dispatch/batcher/callable.go
+++ b/internal/dispatch/batcher/callable.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
+	"hawthornhub.example/hawthornhub/internal/serve/backoff"
 	"hawthornhub.example/hawthornhub/internal/serve/batching"
 	"hawthornhub.example/hawthornhub/internal/serve/eligible"
 )
@@ -75,5 +76,6 @@
 // The rules tell when it may be.
 func deferred(err error) bool {
 	var wait *eligible.WaitError
-	return errors.As(err, &wait)
+	var closed *backoff.ClosedError
+	return errors.As(err, &wait) || errors.As(err, &closed)
 }
--- a/internal/dispatch/batcher/owner.go
+++ b/internal/dispatch/batcher/owner.go
@@ -44,6 +44,9 @@
 	Upstreams func(service string) []catalog.Upstream
 	// Rules tell which of them may be called at the moment.
 	Rules eligible.Rules
+	// Holder returns the upstream at an address that is not among Upstreams and still takes
+	// releases of the results that it holds; nil knows none.
+	Holder func(address string) (catalog.Upstream, bool)
 	// Service returns the configuration of a service.
 	Service func(name string) (*site.Service, bool)
 	// Model holds the learned duration of calls; nil expects the configured duration, and
--- a/internal/dispatch/batcher/router.go
+++ b/internal/dispatch/batcher/router.go
@@ -293,7 +293,14 @@
 		zones[u.Address] = u.Zone
 	}
 	for _, h := range handles {
-		if zone, ok := zones[r.cfg.Owner.cfg.Codec.HolderAddress(h)]; ok {
+		address := r.cfg.Owner.cfg.Codec.HolderAddress(h)
+		zone, ok := zones[address]
+		if !ok && r.cfg.Owner.cfg.Holder != nil {
+			var u catalog.Upstream
+			u, ok = r.cfg.Owner.cfg.Holder(address)
+			zone = u.Zone
+		}
+		if ok {
 			s := shard{service: service, zone: zone}
 			out[s] = append(out[s], h)
 		}
--- a/internal/dispatch/transport/doc.go
+++ b/internal/dispatch/transport/doc.go
@@ -13,6 +13,9 @@
 // Config.Permit and Request.Permit are asked right before a request is written, when the
 // time that the choice of the upstream and a new connection took has passed.
 //
+// Config.Admit is asked before a connection is taken. Config.OnSignal is told what each
+// matching answer says of its upstream, in this one place for all exchanges.
+//
 // # Usage
 //
 //	pool := transport.NewPool(transport.Config{Classify: classify, Log: log})
--- a/internal/dispatch/transport/outcome.go
+++ b/internal/dispatch/transport/outcome.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 
+	"hawthornhub.example/hawthornhub/internal/serve/backoff"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
 )
 
@@ -13,6 +14,9 @@
 	ID string
 	// Address has the form IP:port.
 	Address string
+	// StartTimeMs is the start of the upstream that the request is for, 0 if unknown.
+	// What an answer says of its upstream belongs to this start.
+	StartTimeMs int64
 	// MaxConnections is the maximum number of connections to it from this
 	// process; 0 means no limit.
 	MaxConnections int
@@ -31,6 +35,10 @@
 	// Permit is called right before the request is written, after Config.Permit; an
 	// error keeps it from being sent. nil permits it.
 	Permit func() error
+	// Cleanup is set for requests that free what earlier ones left at the upstream.
+	Cleanup bool
+	// Close closes the connection after the answer.
+	Close bool
 }
 
 // Reply is the information in the status and headers of an answer.
@@ -43,6 +51,9 @@
 	Misdirected bool
 	// Load is nil if the upstream does not report it.
 	Load *balance.Report
+	// Signal is what the upstream says of itself: that it leaves, or that it wants no
+	// requests for a while.
+	Signal backoff.Signal
 }
 
 // Outcome is how a send ended: Answered, Rejected, NotSent or Unknown.
--- a/internal/dispatch/transport/pool.go
+++ b/internal/dispatch/transport/pool.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"hawthornhub.example/hawthornhub/internal/serve/backoff"
 )
 
 // expiryInterval is the time between checks for expired idle connections.
@@ -21,8 +23,15 @@
 	Classify func(status int, h http.Header) Reply
 	// Permit is called right before a request is written; an error keeps it from
 	// being sent. nil permits all.
-	Permit func(ctx context.Context, t Target) error
-	Log    *zap.Logger
+	Permit func(ctx context.Context, t Target, r Request) error
+	// Admit is called once for each request, before a connection is taken for it; an error
+	// keeps it from being sent. nil admits all.
+	Admit func(t Target, r Request) error
+	// OnSignal is called with what an answer says of its upstream, if anything, before
+	// Send returns. Answers that do not belong to the request or are of another upstream
+	// say nothing. It must not block. nil ignores it.
+	OnSignal func(t Target, s backoff.Signal)
+	Log      *zap.Logger
 }
 
 // ConnectionLimitError reports that the maximum number of connections to an
--- a/internal/dispatch/transport/send.go
+++ b/internal/dispatch/transport/send.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"hawthornhub.example/hawthornhub/internal/serve/backoff"
 )
 
 const (
@@ -32,6 +34,7 @@
 // exchange is one request on one connection.
 type exchange struct {
 	pool     *Pool
+	target   Target
 	conn     *conn
 	upstream *upstreamConns
 	request  Request
@@ -44,6 +47,11 @@
 // Send sends a request once and returns how it ended. The connection is closed
 // when ctx ends before the answer has been read.
 func (p *Pool) Send(ctx context.Context, t Target, r Request) Outcome {
+	if p.cfg.Admit != nil {
+		if err := p.cfg.Admit(t, r); err != nil {
+			return NotSent{Err: err, Local: true}
+		}
+	}
 	c, u, err := p.get(ctx, t, r.ID)
 	if err != nil {
 		return NotSent{Err: err}
@@ -52,7 +60,7 @@
 		p.release(c, u, c.requests > 0)
 		return NotSent{Err: err, Local: true}
 	}
-	x := &exchange{pool: p, conn: c, upstream: u, request: r, writeDone: make(chan error, 1)}
+	x := &exchange{pool: p, target: t, conn: c, upstream: u, request: r, writeDone: make(chan error, 1)}
 	c.requests++
 	c.carried.add(r.ID)
 	stop := context.AfterFunc(ctx, func() { c.Close() })
@@ -67,7 +75,7 @@
 // permit returns an error if a request may not be sent any more.
 func (p *Pool) permit(ctx context.Context, t Target, r Request) error {
 	if p.cfg.Permit != nil {
-		if err := p.cfg.Permit(ctx, t); err != nil {
+		if err := p.cfg.Permit(ctx, t, r); err != nil {
 			return err
 		}
 	}
@@ -114,6 +122,7 @@
 		}
 		reply := x.pool.cfg.Classify(resp.StatusCode, resp.Header)
 		if x.matches(reply) {
+			x.passSignal(reply)
 			return x.outcome(stop, resp, reply)
 		}
 		x.pool.cfg.Log.Warn("answer to another request dropped",
@@ -126,6 +135,15 @@
 	return x.fail(stop, errors.New("the connection held answers to other requests only"))
 }
 
+// passSignal passes on what the upstream says of itself. It is called for each exchange,
+// whatever the status of the answer and whoever sent the request. The target is that of this
+// request: the connection may have been opened for an earlier start.
+func (x *exchange) passSignal(r Reply) {
+	if x.pool.cfg.OnSignal != nil && !r.Misdirected && r.Signal != (backoff.Signal{}) {
+		x.pool.cfg.OnSignal(x.target, r.Signal)
+	}
+}
+
 // matches reports whether a reply belongs to the request. A reply without an ID is
 // accepted only for the first request on a connection, where no answer to an
 // earlier one can arrive.
@@ -176,7 +194,7 @@
 
 // outcome returns the outcome of a matching response.
 func (x *exchange) outcome(stop func() bool, resp *http.Response, reply Reply) Outcome {
-	keep := !resp.Close && x.checkWritten()
+	keep := !resp.Close && !x.request.Close && x.checkWritten()
 	x.conn.updateIdleTimeout(resp.Header)
 	if reply.NotExecuted {
 		complete := x.discardRejection(resp)
--- a/internal/dispatch/transport/transport_test.go
+++ b/internal/dispatch/transport/transport_test.go
@@ -405,7 +405,7 @@
 	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { seen.Add(1) }))
 	defer srv.Close()
 	refused := errors.New("refused")
-	p := NewPool(Config{Classify: func(int, http.Header) Reply { return Reply{} }, Permit: func(context.Context, Target) error { return refused }, Log: zap.NewNop()})
+	p := NewPool(Config{Classify: func(int, http.Header) Reply { return Reply{} }, Permit: func(context.Context, Target, Request) error { return refused }, Log: zap.NewNop()})
 	defer p.Close()
 	outcome := p.Send(context.Background(), Target{ID: "u", Address: srv.Listener.Addr().String()}, Request{Method: http.MethodGet, URI: "/", Host: "h"})
 	o, ok := outcome.(NotSent)
--- a/internal/fleet/catalog/table.go
+++ b/internal/fleet/catalog/table.go
@@ -80,7 +80,12 @@
 	if u.State == Left {
 		return t.markLeft(current, known, u)
 	}
-	if known && !isNewer(current, u) {
+	switch {
+	case known && current.StartTimeMs == u.StartTimeMs && u.Seq <= current.Seq && u.State > current.State:
+		// An upstream does not return from draining. Whoever has learnt that it drains need
+		// not know its newest announcement, of which only the state is out of date.
+		u = current.WithState(u.State)
+	case known && !isNewer(current, u):
 		return t.mergeCold(current, u)
 	}
 	if !t.claimAddress(u) {
--- a/internal/fleet/catalog/table_test.go
+++ b/internal/fleet/catalog/table_test.go
@@ -40,6 +40,12 @@
 		{"a later announcement of the same start does not undo draining", []Upstream{
 			announcement("a", "1:1", 10, 2, Draining), announcement("a", "1:1", 10, 3, Ready),
 		}, map[string]string{"a": "draining, start 10"}},
+		{"an entry that knows only an old announcement reports that the upstream leaves", []Upstream{
+			announcement("a", "1:1", 10, 500, Ready), announcement("a", "1:1", 10, 2, Draining), announcement("a", "1:1", 10, 501, Ready),
+		}, map[string]string{"a": "draining, start 10"}},
+		{"an earlier start that leaves does not take its successor with it", []Upstream{
+			announcement("a", "1:1", 20, 1, Ready), announcement("a", "1:1", 10, 500, Draining),
+		}, map[string]string{"a": "ready, start 20"}},
 		{"an upstream that has left does not come back", []Upstream{
 			announcement("a", "1:1", 10, 2, Ready), {ID: "a", State: Left}, announcement("a", "1:1", 10, 9, Ready),
 		}, map[string]string{"a": "left, start 10"}},
--- a/internal/fleet/watch/hub.go
+++ b/internal/fleet/watch/hub.go
@@ -160,6 +160,20 @@
 	}
 }
 
+// mergeReported applies announcements on behalf of upstreams that have told a watcher and
+// not this instance that they leave, and tells the other watchers.
+func (h *Hub) mergeReported(words []*fleetpb.UpstreamWord) {
+	now := time.Now()
+	for _, w := range words {
+		u := catalog.FromProto(w, now)
+		if u.State != catalog.Draining {
+			h.mergeLearnt(u)
+			continue
+		}
+		h.mergeAnnounced(u)
+	}
+}
+
 // mergeAnnounced applies an announcement that was made to this instance, and tells the
 // watchers if it changes anything or they were not told yet. It returns the number of
 // the upstream's last change.
@@ -295,7 +309,11 @@
 // acknowledge applies an acknowledgement, which may carry a changed record of the
 // watcher and upstreams that this instance has lost.
 func (h *Hub) acknowledge(w *watcher, ack *fleetpb.NewsSeen) {
-	h.Merge(&fleetpb.News{Upstreams: ack.GetUpstreams()})
+	if ack.GetSeq() == 0 {
+		h.mergeReported(ack.GetUpstreams())
+	} else {
+		h.Merge(&fleetpb.News{Upstreams: ack.GetUpstreams()})
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.board.Report(time.Now(), ack)
--- a/internal/operator/explain/explain.go
+++ b/internal/operator/explain/explain.go
@@ -37,12 +37,21 @@
 	Cause string `json:"cause"`
 }
 
+// notCalled and calledAgain begin and end a time in which a process does not call an
+// upstream because of what that said in an answer.
+const (
+	notCalled   = "upstream is not called"
+	calledAgain = "upstream may be called again"
+)
+
 // contextMessages maps each message that reports what a process knew at the time
 // to the field that names the subject.
 var contextMessages = map[string]string{
 	"upstream changed":                      "upstream",
 	"upstream announced itself":             "upstream",
 	"call with pieces failed":               "upstream",
+	notCalled:                               "upstream",
+	calledAgain:                             "upstream",
 	"breaker of a prompt segment":           "segment",
 	"breaker of a prompt segment changed":   "segment",
 	"site document in force":                "process",
@@ -146,6 +155,9 @@
 		for _, f := range []string{"upstream", "service", "owner", "segment"} {
 			named[l.text(f)] = true
 		}
+		// The owner of a part of a service names it with its zone.
+		service, _, _ := strings.Cut(l.text("service"), "@")
+		named[service] = true
 	}
 	delete(named, "")
 	end := r.lines[len(r.lines)-1].At
@@ -154,10 +166,11 @@
 		subject := l.subject()
 		// Every entry logs each upstream; only entries that handled the request
 		// are relevant.
-		if l.Message == "upstream changed" && !processes[l.Process] {
+		backoff := l.Message == notCalled || l.Message == calledAgain
+		if (l.Message == "upstream changed" || backoff) && !processes[l.Process] {
 			continue
 		}
-		if !l.At.After(end) && named[subject] {
+		if !l.At.After(end) && (named[subject] || backoff && named[l.text("service")]) {
 			last[subject+" "+l.Message+" "+l.Process] = l
 		}
 	}
@@ -236,7 +249,34 @@
 			break
 		}
 	}
-	return text + breakerState(context, last) + upstreamState(context, last)
+	return text + breakerState(context, last) + backoffState(context, last) + upstreamState(context, last)
+}
+
+// maxNamedUpstreams is how many upstreams a cause names.
+const maxNamedUpstreams = 4
+
+// backoffState returns what the upstreams that a refused request could have gone to had said
+// of themselves.
+func backoffState(context []Line, last Line) string {
+	ended, text, named := make(map[string]bool), "", 0
+	for _, l := range slices.Backward(context) {
+		if named == maxNamedUpstreams {
+			return text + "; and others"
+		}
+		key := l.text("upstream") + " " + l.text("cause") + " " + l.Process
+		switch {
+		case l.Message == calledAgain:
+			ended[key] = true
+		case l.Message != notCalled || ended[key]:
+		case l.text("cause") == "leaving":
+			named++
+			text += fmt.Sprintf("; upstream %s had said %s before that it leaves", l.text("upstream"), last.At.Sub(l.At).Round(time.Millisecond))
+		default:
+			named++
+			text += fmt.Sprintf("; upstream %s had asked %s before for no requests for %.0f ms", l.text("upstream"), last.At.Sub(l.At).Round(time.Millisecond), l.number("left"))
+		}
+	}
+	return text
 }
 
 // breakerState returns what the breaker of the prompt segment that a line names was based
@@ -254,7 +294,7 @@
 // detail returns the fields of a line that explain why it was logged.
 func (l Line) detail() string {
 	var parts []string
-	for _, f := range []string{"service", "error", "waiting", "upstreams", "wait", "work", "stage"} {
+	for _, f := range []string{"service", "error", "waiting", "upstreams", "closed", "wait", "work", "stage"} {
 		if v, ok := l.Fields[f]; ok {
 			parts = append(parts, fmt.Sprintf("%s %v", f, v))
 		}
--- a/internal/operator/explain/explain_test.go
+++ b/internal/operator/explain/explain_test.go
@@ -20,6 +20,12 @@
 {"level":"info","ts":"2026-12-04T06:00:06.5Z","msg":"breaker of a prompt segment changed","process":"front-a-1/registry","segment":"ab12","state":"open","evidence":"6 ends, 3 separate"}
 {"level":"info","ts":"2026-12-04T06:00:06.6Z","msg":"breaker of a prompt segment","process":"front-a-1/gateway","segment":"ab12","state":"open","left":60000}
 {"level":"info","ts":"2026-12-04T06:00:07Z","msg":"request refused","process":"front-a-1/gateway","request":"r7","status":503,"age":1,"reason":"upstreams end when they answer prompts with the segment ab12; leave it out","segment":"ab12"}
+{"level":"info","ts":"2026-12-04T06:00:10Z","msg":"upstream is not called","process":"front-a-1/gateway","upstream":"d-1","service":"desk","born":7,"cause":"leaving"}
+{"level":"info","ts":"2026-12-04T06:00:10.1Z","msg":"upstream is not called","process":"front-a-1/gateway","upstream":"d-3","service":"desk","born":7,"cause":"retry-after","left":100}
+{"level":"info","ts":"2026-12-04T06:00:10.3Z","msg":"upstream may be called again","process":"front-a-1/gateway","upstream":"d-3","service":"desk","born":7,"cause":"retry-after"}
+{"level":"info","ts":"2026-12-04T06:00:10.5Z","msg":"upstream is not called","process":"front-a-1/gateway","upstream":"d-2","service":"desk","born":7,"cause":"retry-after","left":3000}
+{"level":"info","ts":"2026-12-04T06:00:10.6Z","msg":"upstream is not called","process":"front-b-1/gateway","upstream":"d-4","service":"desk","born":7,"cause":"retry-after","left":3000}
+{"level":"info","ts":"2026-12-04T06:00:11Z","msg":"request refused","process":"front-a-1/gateway","request":"r8","status":503,"age":1,"reason":"no upstream of the service may be called for another 2.5s","service":"desk"}
 `
 
 func report(t *testing.T, request string) Report {
@@ -40,6 +46,7 @@
 		"r6": "the caller did not take the answer: broken pipe, after 900 ms and 120 bytes from upstream i-1",
 		"r5": "no line bears the request's id: it was not read by a process whose log is here",
 		"r7": "refused with status 503 after 1 ms: upstreams end when they answer prompts with the segment ab12; leave it out; its breaker was open for 500ms by front-a-1/registry: 6 ends, 3 separate",
+		"r8": "refused with status 503 after 1 ms: no upstream of the service may be called for another 2.5s; upstream d-2 had asked 500ms before for no requests for 3000 ms; upstream d-1 had said 1s before that it leaves",
 	} {
 		if got := report(t, request).Cause; got != want {
 			t.Errorf("%s: got %q, want %q", request, got, want)
