state/site: violations name entry, field, problem and remedy

Validate reported each violation as one text. A tool that lists what a registry would refuse needs the field and the remedy apart. The messages of the error keep their content; those without a remedy get one.

--- a/internal/state/site/validate.go
+++ b/internal/state/site/validate.go
@@ -5,12 +5,29 @@
 	"strings"
 )
 
+// Violation is one reason to refuse a document.
+type Violation struct {
+	// Entry names the route, service, stage or accounts, for instance "route plans".
+	Entry string
+	// Field is the part of the entry that has to be changed.
+	Field string
+	// Problem says what is wrong, Remedy what to do about it.
+	Problem, Remedy string
+}
+
+// String returns the violation as a line of text.
+func (v Violation) String() string { return v.Entry + ": " + v.Problem + "; " + v.Remedy }
+
 // ValidationError reports all violations in a document.
-type ValidationError struct{ Violations []string }
+type ValidationError struct{ Violations []Violation }
 
 // Error lists the violations with their remedies.
 func (e *ValidationError) Error() string {
-	return "configuration refused: " + strings.Join(e.Violations, "; ")
+	lines := make([]string, len(e.Violations))
+	for i, v := range e.Violations {
+		lines[i] = v.String()
+	}
+	return "configuration refused: " + strings.Join(lines, "; ")
 }
 
 // Validate returns a *ValidationError if the document is invalid.
@@ -31,23 +48,24 @@
 // the services that were checked so far.
 type validator struct {
 	services   map[string]bool
-	violations []string
+	violations []Violation
 }
 
-func (v *validator) add(format string, args ...any) {
-	v.violations = append(v.violations, fmt.Sprintf(format, args...))
+func (v *validator) add(entry, field, problem, remedy string) {
+	v.violations = append(v.violations, Violation{Entry: entry, Field: field, Problem: problem, Remedy: remedy})
 }
 
 func (v *validator) service(s Service) {
+	entry := "service " + s.Name
 	if s.Name == "" {
-		v.add("a service has no name; name it")
+		v.add("services", "name", "a service has no name", "name it")
 	}
 	if v.services[s.Name] {
-		v.add("service %s stands twice; remove one", s.Name)
+		v.add(entry, "name", "it stands twice", "remove one")
 	}
 	v.services[s.Name] = true
 	if b := s.Batching; b != nil && (b.MaxBatch < 1 || b.Slots < 1) {
-		v.add("service %s: batch and slots must be positive", s.Name)
+		v.add(entry, "batch and slots", "batch and slots must be positive", "set both to at least 1")
 	}
 	if !(s.ColdPerSecond >= 0 && s.ColdPerSecond <= maxColdPerSecond) {
 		v.add("service %s: cold-per-s is %v; give the requests a second that a cold upstream tolerates, at most %d, or leave it out", s.Name, s.ColdPerSecond, maxColdPerSecond)
@@ -73,7 +91,7 @@
 	for _, r := range routes {
 		key := hostPrefix{r.Host, r.Prefix}
 		if other, ok := seen[key]; ok {
-			v.add("routes %s and %s share %s%s; change one", other, r.Name, r.Host, r.Prefix)
+			v.add(fmt.Sprintf("routes %s and %s", other, r.Name), "prefix", fmt.Sprintf("they share %s%s", r.Host, r.Prefix), "change one")
 		}
 		seen[key] = r.Name
 		v.route(r)
@@ -81,24 +99,25 @@
 }
 
 func (v *validator) route(r Route) {
+	entry := "route " + r.Name
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
-		v.add("route %s: prefix %q must begin and end with a slash", r.Name, r.Prefix)
+		v.add(entry, "prefix", fmt.Sprintf("prefix %q must begin and end with a slash", r.Prefix), "add the slash")
 	}
 	if r.Timeout <= 0 {
-		v.add("route %s: the timeout must be positive", r.Name)
+		v.add(entry, "timeout", "the timeout must be positive", "set one")
 	}
 	total := 0.0
 	for _, s := range r.Split {
 		if !v.services[s.Service] {
-			v.add("route %s: unknown service %q; add it or correct the name", r.Name, s.Service)
+			v.add(entry, "service", fmt.Sprintf("unknown service %q", s.Service), "add it or correct the name")
 		}
 		if s.Weight < 0 {
-			v.add("route %s: the weight of %s must not be negative", r.Name, s.Service)
+			v.add(entry, "weight", fmt.Sprintf("the weight of %s must not be negative", s.Service), "set it to 0 or more")
 		}
 		total += s.Weight
 	}
 	if total <= 0 {
-		v.add("route %s: the weights add up to 0; give one a weight", r.Name)
+		v.add(entry, "weight", "the weights add up to 0", "give one a weight")
 	}
 	for i, s := range r.Stages {
 		v.stage(r, i, s)
@@ -106,12 +125,13 @@
 }
 
 func (v *validator) stage(r Route, i int, s Stage) {
+	entry := fmt.Sprintf("route %s, stage %d", r.Name, i)
 	if !v.services[s.Service] {
-		v.add("route %s, stage %d: unknown service %q; add it or correct the name", r.Name, i, s.Service)
+		v.add(entry, "service", fmt.Sprintf("unknown service %q", s.Service), "add it or correct the name")
 	}
 	for _, d := range s.DependsOn {
 		if d < 0 || d >= i {
-			v.add("route %s, stage %d: inputs from stage %d; use an earlier stage", r.Name, i, d)
+			v.add(entry, "inputs", fmt.Sprintf("inputs from stage %d", d), "use an earlier stage")
 		}
 	}
 }
@@ -121,7 +141,7 @@
 	for _, a := range accounts {
 		for _, k := range a.Keys {
 			if other, ok := accountOf[k]; ok && other != a.Name {
-				v.add("accounts %s and %s share a key; give each its own", other, a.Name)
+				v.add(fmt.Sprintf("accounts %s and %s", other, a.Name), "keys", "they share a key", "give each its own")
 			}
 			accountOf[k] = a.Name
 		}
