operator/check, cmd/hawthornhub, platform: check a site document before it is sent

A check without any file, which did nothing and succeeded, is now a usage error: a script with an empty variable would take it for a document without faults.

--- a/cmd/hawthornhub/inspect.go
+++ b/cmd/hawthornhub/inspect.go
@@ -16,11 +16,16 @@
 )
 
 func checkCommand(app *kingpin.Application) command {
-	clause := app.Command("check", "Validate a settings file, a configuration document, or both.")
+	clause := app.Command("check", "Check a site document before it is sent; or validate a settings file, a configuration document, or both.")
+	review := newDocumentCheck(clause)
 	file := clause.Flag("settings", "Settings file.").String()
 	role := clause.Flag("role", "Role of the process that the settings are for.").Default("entry").Enum("entry", "agent", "control", "gateway", "registry")
 	doc := clause.Flag("document", "File with a configuration document.").String()
 	return command{clause: clause, run: func() error {
+		alone := *file == "" && *doc == ""
+		if alone || review.requested() {
+			return review.run(alone)
+		}
 		if *file != "" {
 			if err := checkSettings(*file, settings.Role(*role)); err != nil {
 				return err
--- a/cmd/hawthornhub/main.go
+++ b/cmd/hawthornhub/main.go
@@ -4,6 +4,7 @@
 // # Usage
 //
 //	hawthornhub entry|agent|control|gateway|registry --settings FILE
+//	hawthornhub check FILE [--against FILE|ADDRESS] [--json]
 //	hawthornhub check --settings FILE --role ROLE [--document FILE]
 //	hawthornhub config get|edit|history --control ADDRESS --team NAME --key-file FILE
 //	hawthornhub document get|put --control ADDRESS --key-file FILE
@@ -16,7 +17,8 @@
 //
 // Exit codes: 0 success; 1 failure; 2 invalid usage, settings or document;
 // 3 request refused (conflict, forbidden, invalid); 4 no control instance
-// answered.
+// answered. Of check FILE: 0 nothing found; 1 warnings only; 2 errors; 3 not
+// checked.
 package main
 
 import (
@@ -72,7 +74,7 @@
 	commands = append(commands, explainCommand(app), versionCommand(app))
 	selected, err := app.Parse(os.Args[1:])
 	if err != nil {
-		exitWithError(&exitError{code: exitUsage, err: fmt.Errorf("%w; see hawthornhub --help", err)})
+		exitWithError(&exitError{code: usageCode(os.Args[1:]), err: fmt.Errorf("%w; see hawthornhub --help", err)})
 	}
 	for _, c := range commands {
 		if c.clause.FullCommand() == selected {
