--- a/internal/state/site/validate.go
+++ b/internal/state/site/validate.go
@@ -68,10 +68,12 @@
 		v.add(entry, "batch and slots", "batch and slots must be positive", "set both to at least 1")
 	}
 	if !(s.ColdPerSecond >= 0 && s.ColdPerSecond <= maxColdPerSecond) {
-		v.add("service %s: cold-per-s is %v; give the requests a second that a cold upstream tolerates, at most %d, or leave it out", s.Name, s.ColdPerSecond, maxColdPerSecond)
+		v.add(entry, "cold-per-s", fmt.Sprintf("cold-per-s is %v", s.ColdPerSecond),
+			fmt.Sprintf("give the requests a second that a cold upstream tolerates, at most %d, or leave it out", maxColdPerSecond))
 	}
 	if !(s.ColdStartSeconds >= 0 && s.ColdStartSeconds <= maxColdStartSeconds) {
-		v.add("service %s: cold-start-s is %v; give the seconds that an upstream is cold after a start, at most %d, or leave it out", s.Name, s.ColdStartSeconds, maxColdStartSeconds)
+		v.add(entry, "cold-start-s", fmt.Sprintf("cold-start-s is %v", s.ColdStartSeconds),
+			fmt.Sprintf("give the seconds that an upstream is cold after a start, at most %d, or leave it out", maxColdStartSeconds))
 	}
 }
 
