operator/check, state/site: report cold rates without a cold period

A rate without a period does not hold after a start, and a period without a rate has no effect; both were accepted without a word. The comparison shows both fields, and violations name them in the same words.

--- a/internal/operator/check/check.go
+++ b/internal/operator/check/check.go
@@ -95,6 +95,7 @@
 	timeouts := longestTimeouts(d)
 	for _, s := range d.Services {
 		c.batching(s, timeouts[s.Name])
+		c.cold(s)
 	}
 	c.limits()
 	return c.findings
--- a/internal/operator/check/check_test.go
+++ b/internal/operator/check/check_test.go
@@ -116,6 +116,9 @@
 		{RuleQueueTooLong, "service scan", "queue", func(d *site.Document) { scan(d).Queue = 101 }, func(d *site.Document) { scan(d).Queue, scan(d).Slots = 100, 2 }},
 		{RuleResultExpires, "service scan", "result lifetime", func(d *site.Document) { scan(d).ResultTTL = 199 * time.Millisecond }, func(d *site.Document) { scan(d).ResultTTL = 200 * time.Millisecond }},
 		{RuleResultExpires, "route plans, stage 2", "inputs", slowInput(110*time.Millisecond, 311*time.Millisecond), slowInput(110*time.Millisecond, 310*time.Millisecond)},
+		{RuleColdIncomplete, "service llm", "cold period", func(d *site.Document) { d.Services[0].ColdPerSecond = 17 }, func(d *site.Document) { d.Services[0].ColdPerSecond, d.Services[0].ColdStartSeconds = 17, 3 }},
+		{RuleColdIncomplete, "service llm", "cold rate", func(d *site.Document) { d.Services[0].ColdStartSeconds = 3 }, func(*site.Document) {}},
+		{RuleRefused, "service llm", "cold rate", func(d *site.Document) { d.Services[0].ColdPerSecond = -1 }, func(*site.Document) {}},
 		{RuleBodyLimit, "limits", "body size", func(d *site.Document) { d.Limits.BodyBytes = 0 }, func(d *site.Document) { d.Limits.BodyBytes = 10_000 }},
 		{RuleBodyLimit, "limits", "body size", func(d *site.Document) { d.Limits.BodyBytes = 9_999 }, func(d *site.Document) { d.Limits.BodyBytes = 10_000 }},
 		{RuleHeaderLimit, "limits", "header size", func(d *site.Document) { d.Limits.HeaderBytes = 0 }, func(d *site.Document) { d.Limits.HeaderBytes = 1 }},
@@ -234,6 +237,8 @@
 		"sticky":              func(d *site.Document) { d.Routes[0].Sticky = true },
 		"health path":         func(d *site.Document) { d.Services[0].HealthPath = "/x" },
 		"max connections":     func(d *site.Document) { d.Services[0].MaxConnections = 1 },
+		"cold rate":           func(d *site.Document) { d.Services[0].ColdPerSecond = 1 },
+		"cold period":         func(d *site.Document) { d.Services[0].ColdStartSeconds = 1 },
 		"engine slots":        func(d *site.Document) { d.Services[0].Engine.Slots = 1 },
 		"engine cache tokens": func(d *site.Document) { d.Services[0].Engine.KVCacheTokens = 1 },
 		"engine":              func(d *site.Document) { d.Services[1].Engine = &site.Engine{} },
@@ -260,7 +265,7 @@
 		}
 	}
 	got := fieldCounts()
-	if want := "Document 5, Route 15, WeightedService 2, Stage 3, Service 5, Engine 2, Batching 7, Account 3, Limits 4"; got != want {
+	if want := "Document 5, Route 15, WeightedService 2, Stage 3, Service 7, Engine 2, Batching 7, Account 3, Limits 4"; got != want {
 		t.Errorf("got %s, want %s", got, want)
 	}
 }
--- a/internal/operator/check/compare.go
+++ b/internal/operator/check/compare.go
@@ -144,6 +144,8 @@
 	return slices.Concat([]field{
 		{"health path", strconv.Quote(s.HealthPath)},
 		{"max connections", strconv.Itoa(s.MaxConnections)},
+		{"cold rate", fmt.Sprint(s.ColdPerSecond)},
+		{"cold period", fmt.Sprintf("%vs", s.ColdStartSeconds)},
 	}, engineFields(s.Engine), batchingFields(s.Batching))
 }
 
--- a/internal/operator/check/limits.go
+++ b/internal/operator/check/limits.go
@@ -114,6 +114,17 @@
 	}
 }
 
+// cold reports a cold rate without a cold period, and the other way round.
+func (c *checker) cold(s site.Service) {
+	entry := serviceEntry(s.Name)
+	if s.ColdPerSecond > 0 && s.ColdStartSeconds == 0 {
+		c.warn(RuleColdIncomplete, entry, "cold period", fmt.Sprintf("the cold rate is %v a second, but an upstream is not cold after a start", s.ColdPerSecond), "set the cold period or remove the rate")
+	}
+	if s.ColdStartSeconds > 0 && s.ColdPerSecond == 0 {
+		c.warn(RuleColdIncomplete, entry, "cold rate", fmt.Sprintf("the cold period is %v s, but without a cold rate it has no effect", s.ColdStartSeconds), "set the cold rate or remove the period")
+	}
+}
+
 // longestTimeouts returns, for each service with stages, the longest timeout of the routes that
 // the stages belong to.
 func longestTimeouts(d *site.Document) map[string]time.Duration {
--- a/internal/operator/check/report.go
+++ b/internal/operator/check/report.go
@@ -48,6 +48,7 @@
 	RuleBatchTooLarge         Rule = "batch-too-large"
 	RuleQueueTooLong          Rule = "queue-too-long"
 	RuleResultExpires         Rule = "result-expires"
+	RuleColdIncomplete        Rule = "cold-incomplete"
 	RuleBodyLimit             Rule = "body-limit"
 	RuleHeaderLimit           Rule = "header-limit"
 )
