membudget, gateway: bodies of requests count against one memory budget

Bodies of requests were not counted: 80 bodies of 4 MiB took an entry over its memory. They now count, with what answers hold, against one limit that accounts share fairly. A request without room gets 503 and Retry-After, with a known length before its body is read. The limit is one fifth of memory_mb.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -51,9 +51,10 @@
 	// loadBalancerDelay is how long the load balancer may go on opening
 	// connections after the readiness check has started to fail.
 	loadBalancerDelay = 3 * time.Second
-	// heldMemoryShare is the part of the memory that answers may hold before they can
-	// be forwarded: one of so many.
-	heldMemoryShare = 8
+	// heldMemoryShare is the part of the memory that may be held for callers, one of so
+	// many. With the 25 MiB of an idle process and garbage of the same size again it stays
+	// below memoryLimitRatio in processes of 144 MiB.
+	heldMemoryShare = 5
 )
 
 func gatewayCommand(app *kingpin.Application) command {
--- a/internal/api/gateway/held_test.go
+++ b/internal/api/gateway/held_test.go
@@ -1,54 +1,189 @@
 package gateway
 
 import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/iotest"
+	"time"
 
 	"pgregory.net/rapid"
+
+	"hawthornhub.example/hawthornhub/internal/serve/membudget"
 )
 
-// Whatever answers reserve and give back, together they never hold more than the limit,
-// and in the end nothing is left.
-func TestReservationsStayWithinLimit(t *testing.T) {
+// setMemory gives the gateway a memory budget for two accounts.
+func (f *fixture) setMemory(limit int64) {
+	f.memory = membudget.New(limit)
+	f.memory.SetAccounts(2)
+}
+
+// awaitMemoryFree fails the test if memory is still held a second after the last request.
+func (f *fixture) awaitMemoryFree(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(time.Second); f.memory.Used() > 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes are still held, want 0", f.memory.Used())
+		}
+	}
+}
+
+// Guards against bodies that are cut, changed or not counted, whatever their length and
+// however they arrive.
+func TestBodiesAreReadWholeAndCounted(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &heldMemory{limit: rapid.Int64Range(0, 1<<20).Draw(t, "limit")}
-		shares := make([]reservation, 4)
-		for i := range shares {
-			shares[i].memory = m
+		body := bytes.Repeat([]byte("b"), rapid.IntRange(0, 200<<10).Draw(t, "bytes"))
+		limit := rapid.Int64Range(1, 200<<10).Draw(t, "limit")
+		length := int64(len(body))
+		if rapid.Bool().Draw(t, "chunked") {
+			length = -1
+		} else {
+			limit = max(limit, length)
 		}
-		for range rapid.IntRange(1, 50).Draw(t, "steps") {
-			r := &shares[rapid.IntRange(0, len(shares)-1).Draw(t, "answer")]
-			before := r.bytes
-			if !r.resize(rapid.IntRange(0, 1<<20).Draw(t, "bytes")) && r.bytes != before {
-				t.Fatalf("a share that could not grow holds %d, want %d", r.bytes, before)
-			}
-			if got := m.used.Load(); got > m.limit {
-				t.Fatalf("%d bytes are held, want %d at most", got, m.limit)
-			}
+		r := io.Reader(bytes.NewReader(body))
+		if rapid.Bool().Draw(t, "halves") {
+			r = iotest.HalfReader(r)
 		}
-		for i := range shares {
-			shares[i].resize(0)
+		b := membudget.New(rapid.Int64Range(0, 1<<20).Draw(t, "memory"))
+		hold := b.Hold("a")
+		got, err := readBody(r, length, limit, hold)
+		var full *membudget.FullError
+		switch {
+		case errors.As(err, &full):
+		case int64(len(body)) > limit:
+			if !errors.Is(err, errBodyTooLarge) {
+				t.Fatalf("error %v, want errBodyTooLarge", err)
+			}
+		case err != nil || !bytes.Equal(got, body):
+			t.Fatalf("got %d bytes and error %v, want %d", len(got), err, len(body))
+		case b.Used() != int64(cap(got)):
+			t.Fatalf("%d bytes count, want %d", b.Used(), cap(got))
 		}
-		if got := m.used.Load(); got != 0 {
-			t.Fatalf("%d bytes are left, want none", got)
+		hold.Close()
+		if b.Used() != 0 {
+			t.Fatalf("%d bytes are left, want 0", b.Used())
 		}
 	})
 }
 
-func TestReservationsAreConcurrent(t *testing.T) {
-	m := &heldMemory{limit: 1 << 20}
+// Guards against an entry that reads bodies of the maximal size until it has no memory
+// left: those without room are refused with a 503, and have not run.
+func TestBodiesPastMemoryAreRefused(t *testing.T) {
+	const (
+		callers     = 80
+		memoryBytes = 16 << 20
+		// overheadBytes allows for buffers of connections on both sides.
+		overheadBytes = 24 << 20
+	)
+	arrived := make(chan struct{}, callers)
+	release := make(chan struct{})
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		arrived <- struct{}{}
+		<-release
+		fmt.Fprint(w, n)
+	})
+	d := document()
+	d.Limits.BodyBytes = defaultMaxBodyBytes
+	f := newFixture(t, d, u.URL)
+	f.setMemory(memoryBytes)
+	body := strings.Repeat("b", defaultMaxBodyBytes)
+	runtime.GC()
+	var before, during runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var served, refused atomic.Int64
 	var wg sync.WaitGroup
-	for range 8 {
+	for i := range callers {
 		wg.Go(func() {
-			r := reservation{memory: m}
-			for i := range 1000 {
-				r.resize(i << 8)
+			resp, err := f.post("/once/x", fmt.Sprint("r", i), "k", strings.NewReader(body))
+			if err != nil {
+				t.Errorf("request %d: %v", i, err)
+				return
+			}
+			defer resp.Body.Close()
+			switch {
+			case resp.StatusCode == http.StatusOK:
+				served.Add(1)
+			case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "":
+				refused.Add(1)
+			default:
+				t.Errorf("request %d: status %d, Retry-After %q; want 200, or 503 with the header", i, resp.StatusCode, resp.Header.Get("Retry-After"))
 			}
-			r.resize(0)
 		})
 	}
+	for range 3 {
+		<-arrived
+	}
+	for end := time.Now().Add(time.Second); refused.Load() < callers-3 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&during)
+	close(release)
 	wg.Wait()
-	if got := m.used.Load(); got != 0 {
-		t.Errorf("%d bytes are left, want none", got)
+	if got, want := served.Load(), u.runs.Load(); got != want || got == 0 {
+		t.Errorf("%d requests were answered, want the %d that ran, and some", got, want)
+	}
+	if got, want := int64(during.HeapAlloc)-int64(before.HeapAlloc), int64(memoryBytes+overheadBytes); got > want {
+		t.Errorf("the heap grew by %d bytes, want %d at most", got, want)
+	}
+	f.awaitMemoryFree(t)
+	if resp, err := f.post("/once/x", "last", "k", strings.NewReader(body)); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("after all have ended: %v, %v; want status 200", resp, err)
+	}
+}
+
+// post sends a request with a body.
+func (f *fixture) post(path, id, key string, body io.Reader) (*http.Response, error) {
+	r, err := http.NewRequest(http.MethodPost, f.url+path, body)
+	if err != nil {
+		return nil, err
+	}
+	r.Host = "a.example"
+	r.Header = http.Header{"Id": {id}, "Key": {key}}
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+// Guards against a refusal that comes only after the body has been sent, and against a
+// body of unknown length that is read past what is free.
+func TestBodyIsRefusedBeforeItIsSent(t *testing.T) {
+	for name, text := range map[string]string{
+		"known length": "Content-Length: 4000000\r\n\r\n",
+		"chunked":      "Transfer-Encoding: chunked\r\n\r\n10000\r\n" + strings.Repeat("b", 0x10000) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newUpstream(t, ok)
+			d := document()
+			d.Limits.BodyBytes = defaultMaxBodyBytes
+			f := newFixture(t, d, u.URL)
+			f.setMemory(64 << 10)
+			c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(time.Second))
+			io.WriteString(c, "POST /once/x HTTP/1.1\r\nHost: a.example\r\nKey: k\r\nId: r1\r\n"+text)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatalf("no answer while the body is incomplete: %v", err)
+			}
+			if got, want := resp.StatusCode, http.StatusServiceUnavailable; got != want {
+				t.Errorf("status %d, want %d", got, want)
+			}
+			if got := u.runs.Load(); got != 0 {
+				t.Errorf("the request ran %d times, want 0", got)
+			}
+			f.awaitMemoryFree(t)
+		})
 	}
 }
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -14,6 +14,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
 	"hawthornhub.example/hawthornhub/internal/serve/eligible"
+	"hawthornhub.example/hawthornhub/internal/serve/membudget"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
@@ -24,15 +25,17 @@
 // request is one request in progress.
 type request struct {
 	Attributes
-	server   *Server
-	http     *http.Request
-	body     []byte
-	start    time.Time
-	deadline time.Time
-	index    *site.Index
-	route    *site.Route
-	account  string
-	rank     site.Rank
+	server *Server
+	http   *http.Request
+	body   []byte
+	// bodyMemory is the memory of body, nil if there is none.
+	bodyMemory *membudget.Hold
+	start      time.Time
+	deadline   time.Time
+	index      *site.Index
+	route      *site.Route
+	account    string
+	rank       site.Rank
 	// returned is set if the request is taken for the return of one that was refused.
 	returned bool
 
--- a/internal/api/gateway/response.go
+++ b/internal/api/gateway/response.go
@@ -57,9 +57,9 @@
 // error status; the returned bool reports whether the request may be retried
 // instead.
 func (q *request) respondBuffered(ctx context.Context, w http.ResponseWriter, a *transport.Answered) (*failure, bool) {
-	held := reservation{memory: &q.server.held}
-	defer held.resize(0)
-	body, more, err := readBuffered(a.Body, &held)
+	held := q.answerMemory()
+	defer held.hold.Close()
+	body, more, err := readBuffered(a.Body, held)
 	if len(body) > 0 {
 		q.begunAt = time.Now()
 	}
@@ -98,7 +98,7 @@
 
 // readBuffered reads a body up to maxBufferedBytes, or up to freeHeldBytes if there is no
 // memory for more. The returned bool reports whether more may follow.
-func readBuffered(r io.Reader, held *reservation) ([]byte, bool, error) {
+func readBuffered(r io.Reader, held answerMemory) ([]byte, bool, error) {
 	body, err := io.ReadAll(io.LimitReader(r, freeHeldBytes))
 	if err != nil || len(body) < freeHeldBytes {
 		return body, false, err
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -22,6 +23,7 @@
 	"hawthornhub.example/hawthornhub/internal/serve/capacity"
 	"hawthornhub.example/hawthornhub/internal/serve/eligible"
 	"hawthornhub.example/hawthornhub/internal/serve/fairshare"
+	"hawthornhub.example/hawthornhub/internal/serve/membudget"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
@@ -85,8 +87,8 @@
 	// requests from callers. It is at least 1.
 	EntryCount func() int
 	Retry      RetryBudget
-	// HeldBytes is the memory for what answers hold before it can be forwarded, 0 for 32
-	// MiB.
+	// HeldBytes is the memory for what is held for callers, the bodies of their requests
+	// and what of answers they have not read, 0 for 32 MiB.
 	HeldBytes int64
 	// Zone is the availability zone of this process.
 	Zone    string
@@ -127,8 +129,8 @@
 	// starts.
 	stopAt   atomic.Value
 	inFlight atomic.Int64
-	// held is what answers hold before it can be forwarded.
-	held    heldMemory
+	// memory is what is held for callers.
+	memory  *membudget.Budget
 	sharing sharing
 	// waiting counts the requests of each service by name that wait until an upstream may
 	// be called.
@@ -144,10 +146,7 @@
 // wait for configurationWait and are then answered with 503.
 func NewServer(cfg Config) *Server {
 	s := &Server{cfg: cfg, drainStarted: make(chan struct{}), configured: make(chan struct{}), sharing: newSharing()}
-	s.held.limit = cfg.HeldBytes
-	if cfg.HeldBytes == 0 {
-		s.held.limit = defaultHeldBytes
-	}
+	s.memory = membudget.New(cmp.Or(cfg.HeldBytes, defaultHeldBytes))
 	s.unsentCtx, s.cancelUnsent = context.WithCancel(context.Background())
 	s.sentCtx, s.cancelSent = context.WithCancel(context.Background())
 	return s
@@ -162,6 +161,8 @@
 			return
 		}
 		if s.index.CompareAndSwap(current, x) {
+			// Of two calls at one time the later document counts.
+			s.memory.SetAccounts(accountCount(s.index.Load()))
 			if current == nil {
 				close(s.configured)
 			}
@@ -170,6 +171,10 @@
 	}
 }
 
+// accountCount returns the number of accounts that callers may have, with the one of
+// requests without a key.
+func accountCount(x *site.Index) int { return len(x.Accounts) + 1 }
+
 // Index returns the current document, nil if there is none.
 func (s *Server) Index() *site.Index { return s.index.Load() }
 
@@ -243,6 +248,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q, f := s.newRequest(r)
+	defer q.releaseBody()
 	if f != nil {
 		s.writeFailure(w, q, f)
 		return
@@ -316,27 +322,6 @@
 	return n
 }
 
-func (q *request) readBody(limit int64) *failure {
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if q.http.ContentLength > limit {
-		return &failure{status: http.StatusRequestEntityTooLarge, reason: "the body is over the limit; send less"}
-	}
-	if q.http.Body == nil || q.http.Body == http.NoBody {
-		return nil
-	}
-	body, err := io.ReadAll(io.LimitReader(q.http.Body, limit+1))
-	if err != nil {
-		return &failure{status: http.StatusBadRequest, reason: "the body broke off: " + err.Error(), callerGone: true}
-	}
-	if int64(len(body)) > limit {
-		return &failure{status: http.StatusRequestEntityTooLarge, reason: "the body is over the limit; send less"}
-	}
-	q.body = body
-	return nil
-}
-
 // failure is an error response that the gateway generates itself.
 type failure struct {
 	status int
@@ -345,6 +330,9 @@
 	retryAfter time.Duration
 	// callerGone is set if nobody is left to read the response.
 	callerGone bool
+	// bodyUnread is set if the body of the request was not read. net/http would read it
+	// before the response is sent, unless the connection is closed after it.
+	bodyUnread bool
 	// inputsExpired is set if the upstream reported that results of the stages
 	// have expired.
 	inputsExpired bool
@@ -390,6 +378,9 @@
 	if f.callerGone {
 		panic(http.ErrAbortHandler)
 	}
+	if f.bodyUnread {
+		w.Header().Set("Connection", "close")
+	}
 	if f.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/internal/api/gateway/stream.go
+++ b/internal/api/gateway/stream.go
@@ -83,13 +83,13 @@
 	// written is the number of body bytes sent to the caller.
 	written int64
 	// held is the memory of events.
-	held reservation
+	held answerMemory
 }
 
 // respondStream forwards events as they arrive, complete ones only.
 func (q *request) respondStream(ctx context.Context, w http.ResponseWriter, a *transport.Answered) {
-	s := &stream{request: q, w: w, flush: http.NewResponseController(w).Flush, held: reservation{memory: &q.server.held}}
-	defer s.held.resize(0)
+	s := &stream{request: q, w: w, flush: http.NewResponseController(w).Flush, held: q.answerMemory()}
+	defer s.held.hold.Close()
 	for {
 		err := s.copyEvents(a)
 		a.Close()
