gateway, transport: read answers on while their callers are slow

A caller that read slowly blocked the reading from the upstream, which cuts off a response that stays unread for seconds. When a write to a caller takes 50 ms, the answer is read on into chunks that count against the memory of its account; with no room, reading pauses. Answers to callers that keep up are copied as before, in one goroutine.

--- a/internal/api/gateway/response.go
+++ b/internal/api/gateway/response.go
@@ -83,11 +83,15 @@
 		length = int64(len(body))
 	}
 	q.writeHeader(w, a, length)
-	written, err := w.Write(body)
+	out := q.newOutput(w)
 	if more {
-		q.copyRest(w, a, int64(written), err)
+		q.copyRest(ctx, out, a, body, held)
 		return nil, false
 	}
+	written, err := out.Write(body)
+	if err == nil {
+		out.finish()
+	}
 	if err != nil {
 		q.server.cfg.Log.Info("could not write response to caller", q.fields(zap.Error(err))...)
 		return nil, false
@@ -110,19 +114,27 @@
 	return append(body, rest...), err == nil && len(rest) == maxBufferedBytes-freeHeldBytes, err
 }
 
-// copyRest forwards what is left of a response that exceeds maxBufferedBytes. written
-// and err are the result of forwarding its beginning.
-func (q *request) copyRest(w http.ResponseWriter, a *transport.Answered, written int64, err error) {
+// copyRest forwards a response that exceeds maxBufferedBytes. beginning is what was read
+// of it, and held the memory of that.
+func (q *request) copyRest(ctx context.Context, out *callerOutput, a *transport.Answered, beginning []byte, held answerMemory) {
+	source := q.newReadAhead(ctx, a.Body)
+	out.setSource(source)
+	n, err := out.Write(beginning)
+	written := int64(n)
+	held.hold.Close()
 	if err == nil {
 		var n int64
-		n, err = io.CopyBuffer(w, a.Body, make([]byte, copyBufferBytes))
+		n, err = io.CopyBuffer(out, source, make([]byte, copyBufferBytes))
 		written += n
 	}
 	a.Close()
+	out.setSource(nil)
+	source.close()
 	q.server.cfg.Balancer.End(time.Now(), q.choice, balance.DoneInfo{Failed: err != nil && q.http.Context().Err() == nil})
 	if err != nil {
 		q.abort("answer cut", written, err)
 	}
+	out.finish()
 	q.recordAnswered(a.Status, written)
 }
 
--- a/internal/api/gateway/stream.go
+++ b/internal/api/gateway/stream.go
@@ -76,7 +76,7 @@
 type stream struct {
 	*request
 	w      http.ResponseWriter
-	flush  func() error
+	out    *callerOutput
 	events eventBuffer
 	// headerWritten is set once the status and headers have been sent.
 	headerWritten bool
@@ -88,13 +88,18 @@
 
 // respondStream forwards events as they arrive, complete ones only.
 func (q *request) respondStream(ctx context.Context, w http.ResponseWriter, a *transport.Answered) {
-	s := &stream{request: q, w: w, flush: http.NewResponseController(w).Flush, held: q.answerMemory()}
+	s := &stream{request: q, w: w, out: q.newOutput(w), held: q.answerMemory()}
 	defer s.held.hold.Close()
 	for {
-		err := s.copyEvents(a)
+		source := q.newReadAhead(ctx, a.Body)
+		s.out.setSource(source)
+		err := s.copyEvents(a, source)
 		a.Close()
+		s.out.setSource(nil)
+		source.close()
 		q.server.cfg.Balancer.End(time.Now(), q.choice, balance.DoneInfo{Failed: err != nil && ctx.Err() == nil, GaveUp: err != nil && ctx.Err() != nil})
 		if err == nil {
+			s.out.finish()
 			q.recordAnswered(a.Status, s.written)
 			return
 		}
@@ -108,12 +113,12 @@
 	}
 }
 
-// copyEvents forwards the events of a response until its body ends.
-func (s *stream) copyEvents(a *transport.Answered) error {
+// copyEvents forwards the events of a response until its body, which source reads, ends.
+func (s *stream) copyEvents(a *transport.Answered, source io.Reader) error {
 	s.events.buf = nil
 	buf := make([]byte, copyBufferBytes)
 	for {
-		n, err := a.Body.Read(buf)
+		n, err := source.Read(buf)
 		if werr := s.write(a, buf[:n]); werr != nil {
 			return werr
 		}
@@ -156,13 +161,13 @@
 		s.begin(a)
 	}
 	s.recordEvent()
-	n, err := s.w.Write(complete)
+	n, err := s.out.Write(complete)
 	s.written += int64(n)
 	if err != nil {
 		return &callerWriteError{err: err}
 	}
 	s.events.discard(len(complete))
-	if err := s.flush(); err != nil {
+	if err := s.out.Flush(); err != nil {
 		return &callerWriteError{err: err}
 	}
 	return nil
--- a/internal/dispatch/transport/send.go
+++ b/internal/dispatch/transport/send.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -195,7 +196,7 @@
 		Unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
 		release: func(reuse bool) {
 			stopped := stop()
-			x.pool.release(x.conn, x.upstream, reuse && keep && body.complete && stopped && x.checkWritten())
+			x.pool.release(x.conn, x.upstream, reuse && keep && body.complete.Load() && stopped && x.checkWritten())
 		},
 	}
 }
@@ -231,14 +232,15 @@
 // body is a response body that records whether it was read to its end.
 type body struct {
 	io.Reader
-	complete bool
+	// complete is set by the reader, while another goroutine may close the response.
+	complete atomic.Bool
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
 	if err == io.EOF {
-		b.complete = true
+		b.complete.Store(true)
 	}
 	return n, err
 }
