--- a/internal/api/gateway/gateway_test.go
+++ b/internal/api/gateway/gateway_test.go
@@ -68,7 +68,7 @@
 	runs atomic.Int64
 }
 
-func newUpstream(t *testing.T, handle http.HandlerFunc) *upstream {
+func newUpstream(t testing.TB, handle http.HandlerFunc) *upstream {
 	u := &upstream{}
 	u.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		u.runs.Add(1)
@@ -156,7 +156,7 @@
 }
 
 // newFixture starts a gateway that tries the upstreams in the given order.
-func newFixture(t *testing.T, d *site.Document, upstreams ...string) *fixture {
+func newFixture(t testing.TB, d *site.Document, upstreams ...string) *fixture {
 	t.Helper()
 	if err := d.Validate(); err != nil {
 		t.Fatalf("document: %v", err)
