--- a/internal/api/gateway/output.go
+++ b/internal/api/gateway/output.go
@@ -13,11 +13,10 @@
 	// ahead. Callers that keep up are never that slow, and it is short against the seconds
 	// after which an upstream cuts off a response that is not read.
 	slowWriteTime = 50 * time.Millisecond
-	// lateWriteTime is how long a caller that was slow may take for maxWriteBytes after the
-	// end of its request. What is ready is delivered late, but not held without end.
-	lateWriteTime = 10 * time.Second
-	// maxWriteBytes is how much is written in one step.
-	maxWriteBytes = 64 << 10
+	// lateWriteTime is how long a caller that was slow may take for lateWriteBytes after
+	// the end of its request. What is ready is delivered late, but not held without end.
+	lateWriteTime  = 5 * time.Second
+	lateWriteBytes = 64 << 10
 )
 
 // callerOutput writes the body of a response to a caller. While a write is slow, it has the
@@ -31,6 +30,8 @@
 	mu sync.Mutex
 	// writing is set while a write is in progress, slow once one took slowWriteTime.
 	writing, slow bool
+	// bytes is the size of the present write.
+	bytes int
 	// source is what is read ahead, nil if nothing is left to read.
 	source *readAhead
 }
@@ -49,34 +50,27 @@
 
 // Write implements io.Writer.
 func (o *callerOutput) Write(p []byte) (int, error) {
-	written := 0
-	for {
-		step := p[written:min(len(p), written+maxWriteBytes)]
-		o.begin()
-		n, err := o.w.Write(step)
-		o.end()
-		written += n
-		if err != nil || written == len(p) {
-			return written, err
-		}
-	}
+	o.begin(len(p))
+	defer o.end()
+	return o.w.Write(p)
 }
 
 // Flush sends what has been written.
 func (o *callerOutput) Flush() error {
-	o.begin()
+	o.begin(0)
 	defer o.end()
 	return o.control.Flush()
 }
 
-// begin starts to watch a write.
-func (o *callerOutput) begin() {
+// begin starts to watch a write of n bytes.
+func (o *callerOutput) begin(n int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.writing = true
+	o.writing, o.bytes = true, n
 	if o.slow {
 		o.setDeadline()
-	} else if o.timer == nil {
+	}
+	if o.timer == nil {
 		o.timer = time.AfterFunc(slowWriteTime, o.onSlowWrite)
 		return
 	}
@@ -117,7 +111,8 @@
 		end = now
 	}
 	// Writers without deadlines, as in tests, are not limited.
-	_ = o.control.SetWriteDeadline(end.Add(lateWriteTime))
+	steps := time.Duration(1 + o.bytes/lateWriteBytes)
+	_ = o.control.SetWriteDeadline(end.Add(steps * lateWriteTime))
 }
 
 // finish ends a complete response. The connection may carry other responses after it, for
--- a/internal/api/gateway/readahead_test.go
+++ b/internal/api/gateway/readahead_test.go
@@ -78,11 +78,14 @@
 // Guards against an answer that its upstream cuts off because it stays unread while its
 // caller is slow.
 func TestSlowCallerGetsWholeAnswer(t *testing.T) {
-	want := numberedEvents(7 << 20)
+	// More than the buffers of all connections take, which are up to 14 MiB in sum.
+	const answerBytes = 24 << 20
+	want := numberedEvents(answerBytes)
 	for _, path := range []string{"/once/x", "/stream/x"} {
 		t.Run(path, func(t *testing.T) {
 			u := newUpstream(t, writeUnlessUnread(want, unreadTime))
 			f := newFixture(t, document(), u.URL)
+			f.setMemory(2 * answerShare * answerBytes)
 			c := f.open(t, path, "r1", "k")
 			time.Sleep(pauseTime)
 			got, err := readAnswer(c)
