membudget, gateway, cmd/hawthornhub: share of bodies at an upstream, memory gauges

An upstream that holds its equal share of the entry's budget in bodies gets no more of them while another holds less. The sum of all bodies is within the budget, so an upstream is always left.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -93,6 +93,8 @@
 	readyHTTP *http.Server
 	draining  atomic.Bool
 	accounts  accountMetrics
+	// memory is used by the update of gauges alone.
+	memory memoryReport
 }
 
 func runGateway(file string) error {
@@ -444,6 +446,7 @@
 		scope.Gauge("document_version").Update(float64(x.Version))
 	}
 	g.reportCapacity(scope)
+	g.memory.update(g.server.Memory(), scope, g.log)
 	counts := make(map[catalog.State]int)
 	all := g.upstreams.All()
 	g.cold.updateGauges(time.Now(), scope, all)
--- a/internal/api/gateway/fair.go
+++ b/internal/api/gateway/fair.go
@@ -76,9 +76,9 @@
 }
 
 // shareRefusal spreads the return of a caller that is refused for lack of capacity, and
-// records for which account and why.
+// records for which account and why. Memory is shared by its own rule.
 func (s *Server) shareRefusal(q *request, f *failure) *failure {
-	if q.route == nil || f.status != http.StatusServiceUnavailable || f.retryAfter <= 0 || s.draining.Load() || !s.fair() {
+	if q.route == nil || f.bodyUnread || f.status != http.StatusServiceUnavailable || f.retryAfter <= 0 || s.draining.Load() || !s.fair() {
 		return f
 	}
 	spread := *f
--- a/internal/api/gateway/held.go
+++ b/internal/api/gateway/held.go
@@ -5,10 +5,12 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/serve/membudget"
 )
 
@@ -76,11 +78,37 @@
 
 // releaseBody gives back the memory of the body.
 func (q *request) releaseBody() {
+	q.moveBody("")
 	if q.bodyMemory != nil {
 		q.bodyMemory.Close()
 	}
 }
 
+// moveBody counts the body at an upstream, in place of the one that it was sent to before.
+func (q *request) moveBody(upstream string) {
+	if len(q.body) == 0 {
+		return
+	}
+	if q.bodyAt != "" {
+		q.server.bodies.Add(q.bodyAt, -int64(len(q.body)))
+	}
+	if q.bodyAt = upstream; upstream != "" {
+		q.server.bodies.Add(upstream, int64(len(q.body)))
+	}
+}
+
+// withRoomForBody leaves out the upstreams that hold their share of bodies.
+func (q *request) withRoomForBody(callable []catalog.Upstream) []catalog.Upstream {
+	if len(q.body) == 0 {
+		return callable
+	}
+	if len(q.tried) > 0 {
+		// The balancer leaves these out anyway. What is left must not be those alone.
+		callable = slices.DeleteFunc(slices.Clone(callable), func(u catalog.Upstream) bool { return slices.Contains(q.tried, u.ID) })
+	}
+	return membudget.BelowShare(q.server.bodies, q.server.memory.Limit(), callable, func(u catalog.Upstream) string { return u.ID })
+}
+
 // refuseForMemory returns the failure of a request whose body finds no memory.
 func (q *request) refuseForMemory(full *membudget.FullError) *failure {
 	q.server.cfg.Metrics.Counter("refused_for_memory").Inc(1)
--- a/internal/api/gateway/held_test.go
+++ b/internal/api/gateway/held_test.go
@@ -187,3 +187,35 @@
 		})
 	}
 }
+
+// Guards against bodies that go on to one upstream, which ends when they exceed its memory,
+// while another holds none.
+func TestBodiesGoToUpstreamBelowItsShare(t *testing.T) {
+	first, second := newUpstream(t, ok), newUpstream(t, ok)
+	f := newFixture(t, document(), first.URL, second.URL)
+	f.setMemory(1 << 20)
+	for _, loaded := range []string{"u0", "u1"} {
+		f.bodies.Add(loaded, 1<<19)
+		before := []int64{first.runs.Load(), second.runs.Load()}
+		for i := range 8 {
+			if resp, _, err := f.call(t, "/once/x", "Id", fmt.Sprint(loaded, i)); err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatalf("request %d: %v, %v; want status 200", i, resp, err)
+			}
+		}
+		at := int64(0)
+		if loaded == "u0" {
+			at = first.runs.Load() - before[0]
+		} else {
+			at = second.runs.Load() - before[1]
+		}
+		if at != 0 {
+			t.Errorf("%d bodies went to %s, which holds its share; want 0", at, loaded)
+		}
+		f.bodies.Add(loaded, -1<<19)
+	}
+	for _, id := range []string{"u0", "u1"} {
+		if got := f.bodies.Bytes(id); got != 0 {
+			t.Errorf("%d bytes count at %s after all requests, want 0", got, id)
+		}
+	}
+}
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -30,12 +30,14 @@
 	body   []byte
 	// bodyMemory is the memory of body, nil if there is none.
 	bodyMemory *membudget.Hold
-	start      time.Time
-	deadline   time.Time
-	index      *site.Index
-	route      *site.Route
-	account    string
-	rank       site.Rank
+	// bodyAt is the ID of the upstream that holds a copy of body, empty if there is none.
+	bodyAt   string
+	start    time.Time
+	deadline time.Time
+	index    *site.Index
+	route    *site.Route
+	account  string
+	rank     site.Rank
 	// returned is set if the request is taken for the return of one that was refused.
 	returned bool
 
@@ -248,7 +250,7 @@
 		q.server.cfg.Metrics.Counter("requests_kept_from_zones").Inc(1)
 	}
 	callable, wait := q.server.cfg.Rules.Filter(now, q.server.cfg.Upstreams(q.service.Name))
-	c, ok = q.server.cfg.Balancer.Choose(now, q.pickInfo(), callable)
+	c, ok = q.server.cfg.Balancer.Choose(now, q.pickInfo(), q.withRoomForBody(callable))
 	return c, wait, ok
 }
 
@@ -298,6 +300,7 @@
 	q.upstream, q.sentAt, q.begunAt, q.begunReported = u, time.Now(), time.Time{}, false
 	t := transport.Target{ID: u.ID, Address: u.Address, MaxConnections: q.maxConnections()}
 	q.attempts++
+	q.moveBody(u.ID)
 	outcome := s.cfg.Send(ctx, t, q.upstreamRequest(u))
 	now := time.Now()
 	switch o := outcome.(type) {
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -130,7 +130,9 @@
 	stopAt   atomic.Value
 	inFlight atomic.Int64
 	// memory is what is held for callers.
-	memory  *membudget.Budget
+	memory *membudget.Budget
+	// bodies counts the bodies that each upstream holds.
+	bodies  *membudget.Loads
 	sharing sharing
 	// waiting counts the requests of each service by name that wait until an upstream may
 	// be called.
@@ -145,7 +147,7 @@
 // NewServer returns a Server that serves nothing until Configure is called: requests
 // wait for configurationWait and are then answered with 503.
 func NewServer(cfg Config) *Server {
-	s := &Server{cfg: cfg, drainStarted: make(chan struct{}), configured: make(chan struct{}), sharing: newSharing()}
+	s := &Server{cfg: cfg, drainStarted: make(chan struct{}), configured: make(chan struct{}), sharing: newSharing(), bodies: membudget.NewLoads()}
 	s.memory = membudget.New(cmp.Or(cfg.HeldBytes, defaultHeldBytes))
 	s.unsentCtx, s.cancelUnsent = context.WithCancel(context.Background())
 	s.sentCtx, s.cancelSent = context.WithCancel(context.Background())
