gateway, platform: refusals for memory reach callers that still send

The connection was closed at once where the caller had asked for that, and the reset took the 503 with it: 41 of 80 callers got no answer. What arrives of the body is now discarded for half a second.

--- a/internal/api/gateway/held.go
+++ b/internal/api/gateway/held.go
@@ -26,6 +26,10 @@
 	// Memory becomes free as other requests end, most within their objective of about a
 	// second.
 	memoryRetryAfter = time.Second
+	// discardTime is how long the body of a refused request is read and discarded. A
+	// connection that is closed while its caller sends is reset, and the caller may lose
+	// the refusal.
+	discardTime = 500 * time.Millisecond
 )
 
 // answerMemory is the memory of one answer.
@@ -121,6 +125,15 @@
 	return f
 }
 
+// discardBody sends what was written of the response, and discards what arrives of the body.
+func (q *request) discardBody(control *http.ResponseController) {
+	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(discardTime)) != nil {
+		return
+	}
+	// The connection is closed in any case.
+	_, _ = io.Copy(io.Discard, q.http.Body)
+}
+
 func bodyTooLarge() *failure {
 	return &failure{status: http.StatusRequestEntityTooLarge, reason: "the body is over the limit; send less"}
 }
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -392,4 +392,7 @@
 	if _, err := io.WriteString(w, f.reason+"\n"); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		s.cfg.Log.Debug("could not write error response", zap.String("request", q.ID), zap.Error(err))
 	}
+	if f.bodyUnread {
+		q.discardBody(http.NewResponseController(w))
+	}
 }
