--- a/internal/api/gateway/readahead.go
+++ b/internal/api/gateway/readahead.go
@@ -58,7 +58,7 @@
 		body:      body,
 		expired:   func() bool { return ctx.Err() != nil },
 		maxChunks: int(max(1, memory.Limit()/answerShare/chunkBytes)),
-		hold:      memory.Hold(q.account),
+		hold:      memory.HoldSparing(q.account),
 		done:      make(chan struct{}),
 	}
 	r.changed = sync.NewCond(&r.mu)
--- a/internal/serve/membudget/budget.go
+++ b/internal/serve/membudget/budget.go
@@ -13,6 +13,9 @@
 	// tightRatio divides what can be lent: the budget is tight while less than one of so
 	// many parts is left.
 	tightRatio = 2
+	// spareRatio divides what is guaranteed to an account: one of so many parts is left by
+	// holds that leave a spare.
+	spareRatio = 4
 )
 
 // Budget is the memory of one process. It is safe for concurrent use.
@@ -53,14 +56,21 @@
 func (b *Budget) Limit() int64 { return b.limit }
 
 // Reserve takes n bytes for an account, all or nothing. Its error is a *FullError.
-func (b *Budget) Reserve(account string, n int64) error {
+func (b *Budget) Reserve(account string, n int64) error { return b.reserve(account, n, false) }
+
+// reserve takes n bytes. If spare is set, it does so only if a spareRatio-th of what is
+// guaranteed to the account could be taken after it.
+func (b *Budget) reserve(account string, n int64, spare bool) error {
 	if n <= 0 {
 		return nil
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	used := b.accounts[account]
-	if !b.fits(used, n) {
+	used, left := b.accounts[account], int64(0)
+	if spare {
+		left = b.guaranteed / spareRatio
+	}
+	if n > b.limit || !b.fits(used, n+left) {
 		return &FullError{Account: account, Wanted: n, Used: used, Share: b.share(used)}
 	}
 	b.lent += b.excess(used+n) - b.excess(used)
@@ -71,8 +81,7 @@
 
 // fits reports whether an account that holds used bytes may have n more.
 func (b *Budget) fits(used, n int64) bool {
-	// The first comparison keeps the sums below from overflowing.
-	if n > b.limit || n > b.limit-b.used {
+	if n > b.limit-b.used {
 		return false
 	}
 	after := used + n
@@ -163,6 +172,14 @@
 	budget  *Budget
 	account string
 	bytes   int64
+	// spare is set if the hold leaves a part to the others of its account.
+	spare bool
+}
+
+// HoldSparing returns a Hold of no bytes that leaves a part of what is guaranteed to its
+// account to holds of the other kind. It is for what can do without more memory.
+func (b *Budget) HoldSparing(account string) *Hold {
+	return &Hold{budget: b, account: account, spare: true}
 }
 
 // Hold returns a Hold of no bytes for an account.
@@ -175,7 +192,7 @@
 // changes nothing. To hold less always succeeds.
 func (h *Hold) Resize(n int64) error {
 	if n > h.bytes {
-		if err := h.budget.Reserve(h.account, n-h.bytes); err != nil {
+		if err := h.budget.reserve(h.account, n-h.bytes, h.spare); err != nil {
 			return err
 		}
 	} else {
