--- a/internal/api/gateway/held_test.go
+++ b/internal/api/gateway/held_test.go
@@ -166,6 +166,7 @@
 			d.Limits.BodyBytes = defaultMaxBodyBytes
 			f := newFixture(t, d, u.URL)
 			f.setMemory(64 << 10)
+			f.cfg.Fair = func() bool { return true }
 			c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
 			if err != nil {
 				t.Fatal(err)
@@ -183,6 +184,9 @@
 			if got := u.runs.Load(); got != 0 {
 				t.Errorf("the request ran %d times, want 0", got)
 			}
+			if got := f.Refusals(1); len(got) != 0 {
+				t.Errorf("%v counts as refused for lack of capacity, want none", got)
+			}
 			f.awaitMemoryFree(t)
 		})
 	}
