--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -52,9 +52,10 @@
 	// loadBalancerDelay is how long the load balancer may go on opening
 	// connections after the readiness check has started to fail.
 	loadBalancerDelay = 3 * time.Second
-	// heldMemoryShare is the part of the memory that answers may hold before they can
-	// be forwarded: one of so many.
-	heldMemoryShare = 8
+	// heldMemoryShare is the part of the memory that may be held for callers, one of so
+	// many. With the 25 MiB of an idle process and garbage of the same size again it stays
+	// below memoryLimitRatio in processes of 144 MiB.
+	heldMemoryShare = 5
 )
 
 func gatewayCommand(app *kingpin.Application) command {
@@ -96,6 +97,8 @@
 	readyHTTP *http.Server
 	draining  atomic.Bool
 	accounts  accountMetrics
+	// memory is used by the update of gauges alone.
+	memory memoryReport
 }
 
 func runGateway(file string) error {
@@ -465,6 +468,7 @@
 		scope.Gauge("document_version").Update(float64(x.Version))
 	}
 	g.reportCapacity(scope)
+	g.memory.update(g.server.Memory(), scope, g.log)
 	counts := make(map[catalog.State]int)
 	all := g.upstreams.All()
 	g.cold.updateGauges(time.Now(), scope, all)
--- a/internal/api/gateway/closed_test.go
+++ b/internal/api/gateway/closed_test.go
@@ -15,6 +15,7 @@
 	"hawthornhub.example/hawthornhub/internal/dispatch/transport"
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/serve/backoff"
+	"hawthornhub.example/hawthornhub/internal/serve/membudget"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
 	"hawthornhub.example/hawthornhub/internal/serve/eligible"
 )
@@ -166,7 +167,7 @@
 func TestWaitingRequestsAreLimitedByMemory(t *testing.T) {
 	u := newUpstream(t, ok)
 	f, table := newHeedingFixture(t, u.URL)
-	f.held.limit = waitingBytes + 100
+	f.memory = membudget.New(waitingBytes + 100)
 	table.Observe(time.Hour, backoff.Start{ID: "u0"}, backoff.Signal{RetryAfter: time.Second})
 	statuses := make(chan int, 2)
 	for i := range 2 {
@@ -181,7 +182,7 @@
 	if got, want := fmt.Sprint(<-statuses, <-statuses), "503 200"; got != want {
 		t.Errorf("got %s, want %s", got, want)
 	}
-	if got := f.held.used.Load(); got != 0 {
+	if got := f.memory.Used(); got != 0 {
 		t.Errorf("%d bytes are held afterwards, want none", got)
 	}
 }
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -14,6 +14,7 @@
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
 	"hawthornhub.example/hawthornhub/internal/serve/eligible"
+	"hawthornhub.example/hawthornhub/internal/serve/membudget"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
@@ -24,9 +25,13 @@
 // request is one request in progress.
 type request struct {
 	Attributes
-	server   *Server
-	http     *http.Request
-	body     []byte
+	server *Server
+	http   *http.Request
+	body   []byte
+	// bodyMemory is the memory of body, nil if there is none.
+	bodyMemory *membudget.Hold
+	// bodyAt is the ID of the upstream that holds a copy of body, empty if there is none.
+	bodyAt   string
 	start    time.Time
 	deadline time.Time
 	index    *site.Index
@@ -244,13 +249,13 @@
 		q.server.cfg.Metrics.Counter("requests_kept_from_zones").Inc(1)
 	}
 	callable, wait := q.server.cfg.Rules.Filter(now, q.server.cfg.Upstreams(q.service.Name))
-	c, ok = q.server.cfg.Balancer.Choose(now, q.pickInfo(), callable)
+	c, ok = q.server.cfg.Balancer.Choose(now, q.pickInfo(), q.withRoomForBody(callable))
 	return c, wait, ok
 }
 
 // pickInfo describes the request to the balancer.
 func (q *request) pickInfo() balance.PickInfo {
-	info := balance.PickInfo{Exclude: q.tried, Prefix: q.sharedPrefix()}
+	info := balance.PickInfo{Exclude: q.tried, Prefix: q.sharedPrefix(), TimeLeft: time.Until(q.start.Add(q.route.Objective))}
 	if len(q.route.Stages) > 0 {
 		info.Zone = q.stageZone()
 		info.InputBytes = q.finalResultBytes()
@@ -294,6 +299,7 @@
 	q.upstream, q.sentAt, q.begunAt, q.begunReported = u, time.Now(), time.Time{}, false
 	t := transport.Target{ID: u.ID, Address: u.Address, StartTimeMs: u.StartTimeMs, MaxConnections: q.maxConnections()}
 	q.attempts++
+	q.moveBody(u.ID)
 	outcome := s.cfg.Send(ctx, t, q.upstreamRequest(u))
 	now := time.Now()
 	switch o := outcome.(type) {
--- a/internal/api/gateway/response.go
+++ b/internal/api/gateway/response.go
@@ -57,9 +57,9 @@
 // error status; the returned bool reports whether the request may be retried
 // instead.
 func (q *request) respondBuffered(ctx context.Context, w http.ResponseWriter, a *transport.Answered) (*failure, bool) {
-	held := reservation{memory: &q.server.held}
-	defer held.resize(0)
-	body, more, err := readBuffered(a.Body, &held)
+	held := q.answerMemory()
+	defer held.hold.Close()
+	body, more, err := readBuffered(a.Body, held)
 	if len(body) > 0 {
 		q.begunAt = time.Now()
 	}
@@ -83,11 +83,15 @@
 		length = int64(len(body))
 	}
 	q.writeHeader(w, a, length)
-	written, err := w.Write(body)
+	out := q.newOutput(w)
 	if more {
-		q.copyRest(w, a, int64(written), err)
+		q.copyRest(ctx, out, a, body, held)
 		return nil, false
 	}
+	written, err := out.Write(body)
+	if err == nil {
+		out.finish()
+	}
 	if err != nil {
 		q.server.cfg.Log.Info("could not write response to caller", q.fields(zap.Error(err))...)
 		return nil, false
@@ -98,7 +102,7 @@
 
 // readBuffered reads a body up to maxBufferedBytes, or up to freeHeldBytes if there is no
 // memory for more. The returned bool reports whether more may follow.
-func readBuffered(r io.Reader, held *reservation) ([]byte, bool, error) {
+func readBuffered(r io.Reader, held answerMemory) ([]byte, bool, error) {
 	body, err := io.ReadAll(io.LimitReader(r, freeHeldBytes))
 	if err != nil || len(body) < freeHeldBytes {
 		return body, false, err
@@ -110,19 +114,27 @@
 	return append(body, rest...), err == nil && len(rest) == maxBufferedBytes-freeHeldBytes, err
 }
 
-// copyRest forwards what is left of a response that exceeds maxBufferedBytes. written
-// and err are the result of forwarding its beginning.
-func (q *request) copyRest(w http.ResponseWriter, a *transport.Answered, written int64, err error) {
+// copyRest forwards a response that exceeds maxBufferedBytes. beginning is what was read
+// of it, and held the memory of that.
+func (q *request) copyRest(ctx context.Context, out *callerOutput, a *transport.Answered, beginning []byte, held answerMemory) {
+	source := q.newReadAhead(ctx, a.Body)
+	out.setSource(source)
+	n, err := out.Write(beginning)
+	written := int64(n)
+	held.hold.Close()
 	if err == nil {
 		var n int64
-		n, err = io.CopyBuffer(w, a.Body, make([]byte, copyBufferBytes))
+		n, err = io.CopyBuffer(out, source, make([]byte, copyBufferBytes))
 		written += n
 	}
 	a.Close()
+	out.setSource(nil)
+	source.close()
 	q.server.cfg.Balancer.End(time.Now(), q.choice, balance.DoneInfo{Failed: err != nil && q.http.Context().Err() == nil})
 	if err != nil {
 		q.abort("answer cut", written, err)
 	}
+	out.finish()
 	q.recordAnswered(a.Status, written)
 }
 
--- a/internal/api/gateway/wait.go
+++ b/internal/api/gateway/wait.go
@@ -78,11 +78,11 @@
 	if wait == eligible.Unknown || wait > limit || s.draining.Load() {
 		return false, wait
 	}
-	bytes := waitingBytes + int64(len(q.body))
-	if !s.held.reserve(bytes) {
+	// The body counts against the memory already.
+	if err := s.memory.Reserve(q.account, waitingBytes); err != nil {
 		return false, wait
 	}
-	defer s.held.release(bytes)
+	defer s.memory.Release(q.account, waitingBytes)
 	s.cfg.Metrics.Counter("waited_for_upstream").Inc(1)
 	s.cfg.Log.Debug("request waits for an upstream", q.fields(zap.Duration("wait", wait), zap.Int("ahead", ahead))...)
 	timer := time.NewTimer(wait + spread)
--- a/internal/serve/balance/balancer.go
+++ b/internal/serve/balance/balancer.go
@@ -57,6 +57,8 @@
 type PickInfo struct {
 	// Prefix identifies the shared prefix of the prompt; empty for none.
 	Prefix string
+	// TimeLeft is the time until the request is late, 0 or less if it is late already.
+	TimeLeft time.Duration
 	// Exclude lists the IDs of upstreams that must not be chosen.
 	Exclude []string
 	// Zone is the availability zone that holds the inputs of the request; empty
