serve/balance: a request that is in time where its prefix is cached goes there

With learned capacity a request left the upstream that has its prefix cached whenever another one was faster, mostly for some tens of milliseconds and while the first one was slow for a moment. The prefix was read anew, which delays others. It now stays while it is expected there within half of the time until it is late.

--- a/internal/serve/balance/learned.go
+++ b/internal/serve/balance/learned.go
@@ -52,6 +52,11 @@
 	// assumedCached is the share of a shared prefix that the upstream that the prefix hashes
 	// to is assumed to have cached from the requests of other entries.
 	assumedCached = 0.95
+	// inTimeShare is the share of the time until a request is late within which it is
+	// expected at an upstream that has its prefix cached, for that one to be chosen although
+	// another is faster. Reading the prefix anew would delay others, and the request is in
+	// time either way.
+	inTimeShare = 0.5
 	// rereadCost is the cost of reading a shared prefix anew, as a multiple of the time that
 	// it takes from each request that runs there: the copy also takes the place of other
 	// prefixes in the cache, which are then read anew too.
@@ -211,10 +216,15 @@
 		return b.estimate(now, info, p, &u, false), ok
 	}
 	best := estimate{cost: math.Inf(1)}
+	cached := best
 	consider := func(u *catalog.Upstream, assumed bool) {
-		if e := b.estimate(now, info, p, u, assumed); e.cost < best.cost {
+		e := b.estimate(now, info, p, u, assumed)
+		if e.cost < best.cost {
 			best = e
 		}
+		if e.work < float64(p.total) && e.cost < cached.cost {
+			cached = e
+		}
 	}
 	b.draw(now, info, candidates, func(u *catalog.Upstream) { consider(u, false) })
 	if info.Prefix != "" {
@@ -227,6 +237,9 @@
 			}
 		}
 	}
+	if cached.upstream != nil && cached.cost < inTimeShare*info.TimeLeft.Seconds() {
+		return cached, true
+	}
 	if best.upstream != nil && !best.prediction.Full {
 		return best, true
 	}
