--- a/internal/api/gateway/closed_test.go
+++ b/internal/api/gateway/closed_test.go
@@ -15,9 +15,9 @@
 	"hawthornhub.example/hawthornhub/internal/dispatch/transport"
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/serve/backoff"
-	"hawthornhub.example/hawthornhub/internal/serve/membudget"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
 	"hawthornhub.example/hawthornhub/internal/serve/eligible"
+	"hawthornhub.example/hawthornhub/internal/serve/membudget"
 )
 
 // newHeedingFixture starts a gateway that heeds the headers Wait and Leave of answers. The
