--- a/internal/api/gateway/held.go
+++ b/internal/api/gateway/held.go
@@ -126,7 +126,9 @@
 }
 
 // discardBody sends what was written of the response, and discards what arrives of the body.
+// What was read of it is given back before.
 func (q *request) discardBody(control *http.ResponseController) {
+	q.releaseBody()
 	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(discardTime)) != nil {
 		return
 	}
