--- a/internal/serve/balance/learned_test.go
+++ b/internal/serve/balance/learned_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
+	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/serve/capacity"
 )
 
@@ -146,3 +148,61 @@
 		}
 	}
 }
+
+// Guards against a home in another zone than the inputs of the requests with the prefix, at
+// which none of them would be sent, and against none where the zone has no upstreams.
+func TestHomeOfPrefixLiesInZoneOfInputs(t *testing.T) {
+	from := upstreams(12)
+	for i := range from {
+		from[i].Zone = fmt.Sprint("z", i%3)
+	}
+	for i := range 50 {
+		var m prefixMemory
+		prefix := fmt.Sprint("p", i)
+		for _, zone := range []string{"z0", "z1", "z2"} {
+			id := m.home(t0, prefix, zone, from)
+			inZone, _ := ByHash(prefix, slices.DeleteFunc(slices.Clone(from), func(u catalog.Upstream) bool { return u.Zone != zone }))
+			if id != inZone.ID {
+				t.Errorf("home of %s in %s is %s, want %s", prefix, zone, id, inZone.ID)
+			}
+		}
+		all, _ := ByHash(prefix, from)
+		if got := m.home(t0, prefix, "elsewhere", from); got != all.ID {
+			t.Errorf("home of %s without an upstream in its zone is %s, want %s", prefix, got, all.ID)
+		}
+	}
+}
+
+// Guards against a request that leaves the upstream that has its prefix cached although it is
+// in time there, and against one that stays although it would be late.
+func TestRequestInTimeStaysWhereItsPrefixIsCached(t *testing.T) {
+	from := upstreams(4)
+	now := t0.Add(time.Second)
+	b := learning(3, 4)
+	info := PickInfo{Prefix: "p", Prompt: []Segment{{ID: "p", Tokens: 200}, {ID: "own", Tokens: 600}}}
+	first, _ := b.Choose(now, info, from)
+	b.Begun(now, first)
+	b.End(now, first, DoneInfo{})
+	// Requests of other prompts get no answer there.
+	other := PickInfo{Prompt: []Segment{{ID: "other", Tokens: 800}}}
+	for _, u := range from {
+		if u.ID != first.ID {
+			other.Exclude = append(other.Exclude, u.ID)
+		}
+	}
+	for range 12 {
+		b.Choose(now, other, from)
+	}
+	// They are overdue by then.
+	now = now.Add(5 * time.Second)
+	info.TimeLeft = time.Hour
+	stays, _ := b.Choose(now, info, from)
+	b.Cancel(stays)
+	if stays.ID != first.ID {
+		t.Errorf("chose %s with an hour left, want %s, which has the prefix", stays.ID, first.ID)
+	}
+	info.TimeLeft = time.Millisecond
+	if leaves, _ := b.Choose(now, info, from); leaves.ID == first.ID {
+		t.Errorf("chose %s, which has overdue requests, although the request is late there", leaves.ID)
+	}
+}
--- a/internal/serve/zonefilter/filter.go
+++ b/internal/serve/zonefilter/filter.go
@@ -109,6 +109,20 @@
 	return 0
 }
 
+// Applies implements eligible.BatchRule. Mostly no zone is evacuated, and a choice among
+// hundreds of upstreams need not look at their zones.
+func (f *Filter) Applies() bool { return f.Count() > 0 }
+
+// WaitAll implements eligible.BatchRule.
+func (f *Filter) WaitAll(_ time.Time, candidates []catalog.Upstream, waits []time.Duration) {
+	evacuated := f.applied.Load().evacuated
+	for i := range candidates {
+		if evacuated[candidates[i].Zone] {
+			waits[i] = eligible.Unknown
+		}
+	}
+}
+
 // Available returns the upstreams of a service that lie in no evacuated zone. The result
 // may share the array of upstreams; the caller must modify neither.
 func (f *Filter) Available(service string, upstreams []catalog.Upstream) []catalog.Upstream {
--- a/internal/serve/zonefilter/filter_test.go
+++ b/internal/serve/zonefilter/filter_test.go
@@ -73,13 +73,18 @@
 				}
 			}
 			offered, available := f.Offered(now, "s", upstreams), f.Available("s", upstreams)
-			for _, u := range upstreams {
+			if got, want := f.Applies(), len(evacuated) > 0; got != want {
+				t.Fatalf("applies: %t, want %t", got, want)
+			}
+			waits := make([]time.Duration, len(upstreams))
+			f.WaitAll(now, upstreams, waits)
+			for i, u := range upstreams {
 				wait := time.Duration(0)
 				if evacuated[u.Zone] {
 					wait = eligible.Unknown
 				}
-				if got := f.Wait(now, u); got != wait {
-					t.Fatalf("upstream %s: wait %v, want %v", u.ID, got, wait)
+				if got := f.Wait(now, u); got != wait || waits[i] != wait {
+					t.Fatalf("upstream %s: wait %v alone and %v with all, want %v", u.ID, got, waits[i], wait)
 				}
 				if got, want := slices.Contains(available, u), !evacuated[u.Zone]; got != want {
 					t.Fatalf("upstream %s available: %t, want %t", u.ID, got, want)
