--- a/internal/api/gateway/expected.go
+++ b/internal/api/gateway/expected.go
@@ -15,9 +15,6 @@
 	// defaultFirstEventTime is the expected time from sending a request to an engine until
 	// its first event before any is learned.
 	defaultFirstEventTime = 150 * time.Millisecond
-	// defaultInputFetchTime is the time after which an idle upstream of the usual pace has
-	// fetched the inputs of a call.
-	defaultInputFetchTime = 70 * time.Millisecond
 	// expectedTTL is how long the expected time of a request is kept.
 	expectedTTL = 100 * time.Millisecond
 	// maxInputFetchFactor bounds the learned time of stages as a multiple of the configured
@@ -68,14 +65,14 @@
 func (q *request) inputFetchTime(stage int) time.Duration {
 	s, ok := q.index.Service(q.route.Stages[stage].Service)
 	if !ok || s.Batching == nil {
-		return defaultInputFetchTime
+		return batcher.InputFetchTime
 	}
 	configured := batching.ConfigOf(s.Batching).TypicalDuration()
 	if configured <= 0 {
-		return defaultInputFetchTime
+		return batcher.InputFetchTime
 	}
 	factor := q.expectedCallTime(stage).Seconds() / configured.Seconds()
-	return time.Duration(min(maxInputFetchFactor, max(1, factor)) * float64(defaultInputFetchTime))
+	return time.Duration(min(maxInputFetchFactor, max(1, factor)) * float64(batcher.InputFetchTime))
 }
 
 // learnStage records how long a stage took from its dispatch to its results.
--- a/internal/api/gateway/expected_test.go
+++ b/internal/api/gateway/expected_test.go
@@ -135,7 +135,7 @@
 	if got := q.expectedCallTime(0); got < 50*time.Millisecond || got > 70*time.Millisecond {
 		t.Errorf("got %v after stages that took 60 ms once dispatched, want about that; configured are %v", got, configured)
 	}
-	if got := q.inputFetchTime(0); got <= defaultInputFetchTime {
-		t.Errorf("inputs count as fetched after %v, want more than %v where calls take longer than configured", got, defaultInputFetchTime)
+	if got := q.inputFetchTime(0); got <= batcher.InputFetchTime {
+		t.Errorf("inputs count as fetched after %v, want more than %v where calls take longer than configured", got, batcher.InputFetchTime)
 	}
 }
--- a/internal/dispatch/batcher/expiry_test.go
+++ b/internal/dispatch/batcher/expiry_test.go
@@ -17,7 +17,7 @@
 	go func() { first <- o.Do(context.Background(), newJob("first", 1)) }()
 	eventually(t, "the call", func() bool { calls, _ := u.recorded(); return len(calls) == 1 })
 	queued := newJob("queued", 1)
-	queued.Key, queued.Inputs, queued.InputsTTL = "", []string{"1.1.1.1:1/input"}, 2*inputFetchTime
+	queued.Key, queued.Inputs, queued.InputsTTL = "", []string{"1.1.1.1:1/input"}, 2*InputFetchTime
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
 	start := time.Now()
--- a/internal/dispatch/batcher/owner.go
+++ b/internal/dispatch/batcher/owner.go
@@ -27,8 +27,9 @@
 	// capacityBackoff is how long an upstream is not called after it lacked
 	// capacity for a call or memory for a result.
 	capacityBackoff = 60 * time.Millisecond
-	// inputFetchTime is the time in which an upstream fetches the inputs of a call.
-	inputFetchTime = 70 * time.Millisecond
+	// InputFetchTime is the time in which an idle upstream of the usual pace fetches the
+	// inputs of a call.
+	InputFetchTime = 70 * time.Millisecond
 	// A call times out after callTimeoutFactor times the duration expected at the
 	// upstream, plus callTimeoutMargin.
 	callTimeoutFactor = 3
@@ -330,7 +331,7 @@
 // failExpired fails the queued jobs whose inputs expire before an upstream could fetch
 // them. The caller holds mu.
 func (d *dispatcher) failExpired(now time.Time) {
-	for _, j := range d.queue.RemoveExpired(now, inputFetchTime) {
+	for _, j := range d.queue.RemoveExpired(now, InputFetchTime) {
 		d.owner.cfg.Log.Info("queued job failed: its inputs expire",
 			zap.String("request", j.RequestID), zap.String("service", d.shard.key()), zap.Int("stage", j.Stage), zap.Int("rank", int(j.Rank)),
 			zap.Duration("waited", now.Sub(j.Arrived)))
--- a/internal/state/site/validate.go
+++ b/internal/state/site/validate.go
@@ -68,11 +68,11 @@
 		v.add(entry, "batch and slots", "batch and slots must be positive", "set both to at least 1")
 	}
 	if !(s.ColdPerSecond >= 0 && s.ColdPerSecond <= maxColdPerSecond) {
-		v.add(entry, "cold rate", fmt.Sprintf("cold-per-s is %v", s.ColdPerSecond),
+		v.add(entry, "cold rate", fmt.Sprintf("the cold rate is %v requests a second", s.ColdPerSecond),
 			fmt.Sprintf("give the requests a second that a cold upstream tolerates, at most %d, or leave it out", maxColdPerSecond))
 	}
 	if !(s.ColdStartSeconds >= 0 && s.ColdStartSeconds <= maxColdStartSeconds) {
-		v.add(entry, "cold period", fmt.Sprintf("cold-start-s is %v", s.ColdStartSeconds),
+		v.add(entry, "cold period", fmt.Sprintf("the cold period is %v s", s.ColdStartSeconds),
 			fmt.Sprintf("give the seconds that an upstream is cold after a start, at most %d, or leave it out", maxColdStartSeconds))
 	}
 }
