balance, hawthornhub, docs: a choice among upstreams asks once which are cold, and copies none that it keeps

Whether an upstream is cold was asked of each candidate under a lock, in deployments without cold rates too, and each choice copied all candidates.

--- a/cmd/hawthornhub/cold.go
+++ b/cmd/hawthornhub/cold.go
@@ -136,16 +136,26 @@
 	return nil
 }
 
-// Cold reports whether an upstream counts as cold.
-func (r *coldRule) Cold(now time.Time, u catalog.Upstream) bool {
+// Cold returns which of the candidates count as cold, nil if none does.
+func (r *coldRule) Cold(now time.Time, candidates []catalog.Upstream) []bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.useDocument()
 	if !r.configured {
-		return false
+		return nil
 	}
 	r.facts(now)
-	return r.limiter.Limits(r.upstream(now, &u))
+	var out []bool
+	for i := range candidates {
+		if !r.limiter.Limits(r.upstream(now, &candidates[i])) {
+			continue
+		}
+		if out == nil {
+			out = make([]bool, len(candidates))
+		}
+		out[i] = true
+	}
+	return out
 }
 
 // Applies implements eligible.BatchRule.
--- a/internal/serve/balance/balancer.go
+++ b/internal/serve/balance/balancer.go
@@ -48,9 +48,9 @@
 	// Model holds the learned capacity of the upstreams, by which they are chosen; nil
 	// chooses by their slots.
 	Model *capacity.Model
-	// Cold reports whether an upstream tolerates only a few requests at the moment; nil
-	// means that none does.
-	Cold func(now time.Time, u catalog.Upstream) bool
+	// Cold returns which of the candidates tolerate only a few requests at the moment, nil
+	// if none does. It is asked once for each choice; nil means that none ever does.
+	Cold func(now time.Time, candidates []catalog.Upstream) []bool
 }
 
 // PickInfo describes the request that an upstream is chosen for.
@@ -157,18 +157,22 @@
 }
 
 // eligible returns the available candidates that aren't excluded. If there are
-// none, it returns those that are silent or in a cooldown.
+// none, it returns those that are silent or in a cooldown. The caller must not modify the
+// result, which is candidates itself if none is left out.
 func (b *Balancer) eligible(now time.Time, info PickInfo, candidates []catalog.Upstream) []catalog.Upstream {
-	var out, fallback []catalog.Upstream
-	for _, u := range candidates {
-		if slices.Contains(info.Exclude, u.ID) {
-			continue
-		}
-		if u.Silent || now.Before(b.state(u.ID).cooldownEnds) {
-			fallback = append(fallback, u)
-			continue
+	first := slices.IndexFunc(candidates, func(u catalog.Upstream) bool { return !b.usable(now, info, &u) })
+	if first < 0 {
+		return candidates
+	}
+	out := append(make([]catalog.Upstream, 0, len(candidates)), candidates[:first]...)
+	var fallback []catalog.Upstream
+	for i := first; i < len(candidates); i++ {
+		switch u := &candidates[i]; {
+		case b.usable(now, info, u):
+			out = append(out, *u)
+		case !slices.Contains(info.Exclude, u.ID):
+			fallback = append(fallback, *u)
 		}
-		out = append(out, u)
 	}
 	if len(out) == 0 {
 		return fallback
@@ -182,21 +186,19 @@
 	if b.cfg.Cold == nil {
 		return candidates
 	}
-	var warm []catalog.Upstream
-	free := false
+	cold := b.cfg.Cold(now, candidates)
+	if cold == nil {
+		return candidates
+	}
+	warm, free := make([]catalog.Upstream, 0, len(candidates)), false
 	for i, u := range candidates {
-		switch {
-		case b.cfg.Cold(now, u):
-			if warm == nil {
-				warm = append(make([]catalog.Upstream, 0, len(candidates)), candidates[:i]...)
-			}
+		if cold[i] {
 			continue
-		case warm != nil:
-			warm = append(warm, u)
 		}
+		warm = append(warm, u)
 		free = free || b.usable(now, info, &u) && b.load(now, u) < float64(u.Slots)
 	}
-	if warm == nil || !free {
+	if !free {
 		return candidates
 	}
 	return warm
--- a/internal/serve/balance/balancer_test.go
+++ b/internal/serve/balance/balancer_test.go
@@ -140,7 +140,7 @@
 			break
 		}
 	}
-	b := New(Config{Zone: "z0", Random: rand.New(rand.NewPCG(1, 1)).IntN, Cold: func(_ time.Time, u catalog.Upstream) bool { return u.ID != "u3" }})
+	b := New(Config{Zone: "z0", Random: rand.New(rand.NewPCG(1, 1)).IntN, Cold: allBut("u3")})
 	if got, want := fmt.Sprint(pick(b, 4, PickInfo{Prefix: prefix}, from)), "map[u3:4]"; got != want {
 		t.Errorf("with free slots at u3: got %s, want %s", got, want)
 	}
@@ -162,8 +162,33 @@
 // upstream.
 func TestLearnedChoiceAvoidsColdUpstreams(t *testing.T) {
 	from := upstreams(4)
-	b := New(Config{Zone: "z0", Random: rand.New(rand.NewPCG(1, 1)).IntN, Model: capacity.NewModel(), Cold: func(_ time.Time, u catalog.Upstream) bool { return u.ID != "u3" }})
+	b := New(Config{Zone: "z0", Random: rand.New(rand.NewPCG(1, 1)).IntN, Model: capacity.NewModel(), Cold: allBut("u3")})
 	if got, want := fmt.Sprint(pick(b, 4, PickInfo{Prefix: "p"}, from)), "map[u3:4]"; got != want {
 		t.Errorf("got %s, want %s", got, want)
 	}
 }
+
+// allBut returns a Config.Cold by which all upstreams are cold but one.
+func allBut(id string) func(time.Time, []catalog.Upstream) []bool {
+	return func(_ time.Time, candidates []catalog.Upstream) []bool {
+		out := make([]bool, len(candidates))
+		for i, u := range candidates {
+			out[i] = u.ID != id
+		}
+		return out
+	}
+}
+
+// BenchmarkPick shows what a choice costs while the fleet grows, if no upstream is cold.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{1, 40, 400} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			balancer := New(Config{Zone: "z0", Random: rand.New(rand.NewPCG(1, 1)).IntN, Cold: func(time.Time, []catalog.Upstream) []bool { return nil }})
+			from := upstreams(n)
+			for b.Loop() {
+				u, _ := balancer.Pick(t0, PickInfo{}, from)
+				balancer.Done(t0, u.ID, DoneInfo{})
+			}
+		})
+	}
+}
