gateway: refuse at once what could be sent only too late for its response

Cause: a request that waits for an upstream which has asked for no requests waited until its deadline, and was sent with less time than a response takes. It could run, and its caller got 504.

Change: the limit of that wait leaves the expected time of the send, which the wait within the objective did already.

Test: TestRequestIsNotSentTooLateForItsResponse, 504 before, 503 at once now.

--- a/internal/api/gateway/closed.go
+++ b/internal/api/gateway/closed.go
@@ -109,7 +109,7 @@
 
 // canWait reports whether a request that is sent after a wait can still be answered in time.
 func (q *request) canWait(wait time.Duration) bool {
-	return wait > 0 && wait != eligible.Unknown && wait < q.timeToAbandon()
+	return wait > 0 && wait != eligible.Unknown && wait < q.timeToSend()
 }
 
 // noneCallable returns the failure of a request that no upstream may be sent for the time
@@ -124,7 +124,8 @@
 }
 
 // askedToWait reports whether an upstream of the service has asked for no requests for a
-// while. Requests wait for it until their deadline, and not until their objective alone.
+// while. Requests wait for it as long as they can be answered before their deadline, and not
+// within their objective alone.
 func (q *request) askedToWait() bool {
 	return q.server.cfg.AskedToWait != nil && q.server.cfg.AskedToWait(q.service.Name)
 }
--- a/internal/api/gateway/closed_test.go
+++ b/internal/api/gateway/closed_test.go
@@ -125,6 +125,33 @@
 	}
 }
 
+// Guards against a request that waits for its upstream until too little time is left for the
+// response: it is sent, may run, and its caller gets a 504.
+func TestRequestIsNotSentTooLateForItsResponse(t *testing.T) {
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(300 * time.Millisecond)
+		ok(w, r)
+	})
+	f, table := newHeedingFixture(t, u.URL)
+	epoch := time.Now()
+	if resp, _, err := f.call(t, "/safe/x"); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("got %v %v, want 200", resp, err)
+	}
+	// The deadline of the fixture's requests is 2 s.
+	table.Observe(time.Hour+time.Since(epoch), backoff.Start{ID: "u0"}, backoff.Signal{RetryAfter: 1900 * time.Millisecond})
+	start := time.Now()
+	resp, body, err := f.call(t, "/safe/x")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("got %v %q %v, want 503", resp, body, err)
+	}
+	if took := time.Since(start); took > 500*time.Millisecond {
+		t.Errorf("refused after %v, want at once", took)
+	}
+	if got, want := u.runs.Load(), int64(1); got != want {
+		t.Errorf("the upstream got %d requests, want %d", got, want)
+	}
+}
+
 // Guards against a hopeless request that is held back, and against a Retry-After that is not
 // the shortest remaining time.
 func TestRequestIsRefusedAtOnceIfAllAreClosedForLonger(t *testing.T) {
--- a/internal/api/gateway/wait.go
+++ b/internal/api/gateway/wait.go
@@ -73,9 +73,9 @@
 	wait = max(minCallableWait, wait)
 	limit, spread := q.waitLimit(), time.Duration(0)
 	if q.askedToWait() {
-		limit, spread = q.timeToAbandon(), rand.N(maxWaitSpread)
+		limit, spread = q.timeToSend(), rand.N(maxWaitSpread)
 	}
-	if wait == eligible.Unknown || wait > limit || s.draining.Load() {
+	if wait == eligible.Unknown || wait+spread > limit || s.draining.Load() {
 		return false, wait
 	}
 	// The body counts against the memory already.
@@ -111,15 +111,23 @@
 	if q.lastEventID != "" {
 		return min(maxResumeWait, time.Until(q.deadline)-q.firstEventTime())
 	}
-	expected := q.firstEventTime()
+	limit := q.timeToSend()
+	if q.route.Objective > 0 {
+		limit = min(limit, time.Until(q.start.Add(q.route.Objective))-q.sendTime())
+	}
+	return limit
+}
+
+// timeToSend returns the time within which the request must be sent for its response to
+// begin before the caller gives up. One that is sent later is lost although it may run.
+func (q *request) timeToSend() time.Duration { return q.timeToAbandon() - q.sendTime() }
+
+// sendTime is the expected time from sending the request until its response begins.
+func (q *request) sendTime() time.Duration {
 	if q.route.Kind != site.Streaming {
 		if average, ok := q.server.sendDurations.typical(q.route.Name); ok {
-			expected = average
+			return average
 		}
 	}
-	until := q.timeToAbandon()
-	if q.route.Objective > 0 {
-		until = min(until, time.Until(q.start.Add(q.route.Objective)))
-	}
-	return until - expected
+	return q.firstEventTime()
 }
