batcher, hawthornhub: one owner of a shard while the entries of its zone are lost

Cause: an entry ran the jobs of a shard itself once it had marked all entries of the shard's zone as lost. After 15 of 24 entries were killed at once, ten entries called the same upstreams for 5 s, and 1,913 calls were rejected because the upstreams were full. Entries that had restarted had no marks and chose yet another owner.

Change: the candidates of the whole fleet follow those of the zone, in the same order for all entries; a mark belongs to one incarnation of a process.

--- a/cmd/hawthornhub/capacity.go
+++ b/cmd/hawthornhub/capacity.go
@@ -36,11 +36,21 @@
 		Model:   g.capacity,
 		Links:   g.poolingLinks,
 		Self:    g.settings.Listen.Link,
-		Entries: func() []string { return g.batchOwnerAddresses("") },
+		Entries: g.poolingEntries,
 		Log:     g.log,
 	}))
 }
 
+// poolingEntries returns the link addresses of the entries that may pool observations, the
+// same that may own services.
+func (g *gatewayProcess) poolingEntries() []string {
+	var out []string
+	for _, c := range g.batchOwnerCandidates("") {
+		out = append(out, c.Link)
+	}
+	return out
+}
+
 // stopPooling stops the exchange.
 func (g *gatewayProcess) stopPooling() error {
 	x := g.pooling.Load()
--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -89,7 +89,7 @@
 	batchRouter *batcher.Router
 	server      *gateway.Server
 	follower    atomic.Pointer[watch.Follower]
-	// batchOwners caches the result of batchOwnerAddresses.
+	// batchOwners caches the result of batchOwnerCandidates.
 	batchOwners atomic.Pointer[batchOwners]
 	linkServer  *link.Server
 	callerHTTP  *http.Server
@@ -147,7 +147,7 @@
 		Fair:      g.sharesByAccount,
 		Log:       g.log,
 	})
-	g.batchRouter = batcher.NewRouter(batcher.RouterConfig{Owner: g.batchOwner, Pool: g.pool, Self: s.Listen.Link, Owners: g.batchOwnerAddresses, Log: g.log})
+	g.batchRouter = batcher.NewRouter(batcher.RouterConfig{Owner: g.batchOwner, Pool: g.pool, Self: s.Listen.Link, Owners: g.batchOwnerCandidates, Log: g.log})
 	g.server = gateway.NewServer(gateway.Config{
 		Headers:        platform.HeaderCodec(),
 		Send:           g.transport.Send,
@@ -377,12 +377,11 @@
 	return x.Service(name)
 }
 
-// batchOwnerAddresses returns the link addresses of the entries that may own the
-// batching of a service, those in an availability zone if there are any; an empty zone
-// stands for all. Entries that share an instance with a control process are excluded as
+// batchOwnerCandidates returns the entries that may own the batching of a service, those in
+// an availability zone if there are any; an empty zone stands for all. Entries that share an instance with a control process are excluded as
 // long as there are others, so that the loss of one instance does not take both an
 // owner and a control process. The caller must not modify the slice.
-func (g *gatewayProcess) batchOwnerAddresses(zone string) []string {
+func (g *gatewayProcess) batchOwnerCandidates(zone string) []batcher.Candidate {
 	f := g.follower.Load()
 	if f == nil {
 		return nil
@@ -393,18 +392,17 @@
 		cached = newBatchOwners(view)
 		g.batchOwners.Store(cached)
 	}
-	if addresses := cached.byZone[zone]; len(addresses) > 0 {
-		return addresses
+	if candidates := cached.byZone[zone]; len(candidates) > 0 {
+		return candidates
 	}
 	return cached.all
 }
 
-// batchOwners are the addresses of the entries of a list of processes that may own the
-// batching of a service.
+// batchOwners are the entries of a list of processes that may own the batching of a service.
 type batchOwners struct {
 	view   *watch.View
-	all    []string
-	byZone map[string][]string
+	all    []batcher.Candidate
+	byZone map[string][]batcher.Candidate
 }
 
 func newBatchOwners(view *watch.View) *batchOwners {
@@ -417,10 +415,11 @@
 	if len(separate) == 0 {
 		separate = staying
 	}
-	owners := &batchOwners{view: view, byZone: make(map[string][]string)}
+	owners := &batchOwners{view: view, byZone: make(map[string][]batcher.Candidate)}
 	for _, p := range separate {
-		owners.all = append(owners.all, p.Link)
-		owners.byZone[p.Zone] = append(owners.byZone[p.Zone], p.Link)
+		c := batcher.Candidate{Link: p.Link, Incarnation: p.Incarnation}
+		owners.all = append(owners.all, c)
+		owners.byZone[p.Zone] = append(owners.byZone[p.Zone], c)
 	}
 	return owners
 }
--- a/internal/dispatch/batcher/batcher_test.go
+++ b/internal/dispatch/batcher/batcher_test.go
@@ -365,9 +365,18 @@
 	return p
 }
 
+// candidates returns the first incarnations of entries at link addresses.
+func candidates(links ...string) []Candidate {
+	var out []Candidate
+	for _, link := range links {
+		out = append(out, Candidate{Link: link, Incarnation: 1})
+	}
+	return out
+}
+
 func newRouter(t *testing.T, own *Owner, self string, owners func() []string) *Router {
 	pool := link.NewPool(link.PoolConfig{Auth: link.Auth{Key: []byte("a key for the tests")}})
-	r := NewRouter(RouterConfig{Owner: own, Pool: pool, Self: self, Owners: func(string) []string { return owners() }, Log: zap.NewNop()})
+	r := NewRouter(RouterConfig{Owner: own, Pool: pool, Self: self, Owners: func(string) []Candidate { return candidates(owners()...) }, Log: zap.NewNop()})
 	t.Cleanup(func() {
 		r.Close()
 		pool.Close()
@@ -432,7 +441,7 @@
 	self := "self"
 	for i := 0; ; i++ {
 		self = fmt.Sprint("self", i)
-		if first, _ := ownerOf(shard{service: "scan"}, []string{address, self}, nil); first == address {
+		if first, _ := ownerOf(shard{service: "scan"}, candidates(address, self), noneLost); first.Link == address {
 			break
 		}
 	}
@@ -458,7 +467,7 @@
 	self := "self"
 	for i := 0; ; i++ {
 		self = fmt.Sprint("self", i)
-		if first, _ := ownerOf(shard{service: "scan"}, []string{frozen, self}, nil); first == frozen {
+		if first, _ := ownerOf(shard{service: "scan"}, candidates(frozen, self), noneLost); first.Link == frozen {
 			break
 		}
 	}
@@ -510,7 +519,7 @@
 	lost, _ := r.owner(s)
 	count := func() (tries int) {
 		for range callers {
-			if address, _ := r.owner(s); address == lost {
+			if owner, _ := r.owner(s); owner == lost {
 				tries++
 			}
 		}
@@ -521,12 +530,12 @@
 		t.Errorf("during the backoff: %d tries, want %d", got, want)
 	}
 	r.mu.Lock()
-	r.lostUntil[lost] = time.Now().Add(-time.Millisecond)
+	r.lost[lost.Link] = lostOwner{incarnation: lost.Incarnation, backoffEnds: time.Now().Add(-time.Millisecond)}
 	r.mu.Unlock()
 	if got, want := count(), 1; got != want {
 		t.Errorf("after the backoff: %d tries, want %d", got, want)
 	}
-	r.markFound(lost)
+	r.markFound(lost.Link)
 	if got, want := count(), callers; got != want {
 		t.Errorf("once it is found: %d tries, want %d", got, want)
 	}
@@ -544,14 +553,17 @@
 	eventually(t, "the release of the result", func() bool { _, released := u.recorded(); return len(released) == 1 })
 }
 
+func noneLost(Candidate) bool { return false }
+
 func TestOwnerIsIndependentOfAddressOrder(t *testing.T) {
-	a, _ := ownerOf(shard{service: "scan"}, []string{"1", "2", "3"}, nil)
-	b, _ := ownerOf(shard{service: "scan"}, []string{"3", "1", "2"}, nil)
+	a, _ := ownerOf(shard{service: "scan"}, candidates("1", "2", "3"), noneLost)
+	b, _ := ownerOf(shard{service: "scan"}, candidates("3", "1", "2"), noneLost)
 	if a != b {
-		t.Errorf("owners are %s and %s, want the same", a, b)
+		t.Errorf("owners are %v and %v, want the same", a, b)
 	}
-	if next, _ := ownerOf(shard{service: "scan"}, []string{"1", "2", "3"}, map[string]bool{a: true}); next == a {
-		t.Errorf("excluded owner %s was returned", next)
+	isFirst := func(c Candidate) bool { return c == a }
+	if next, _ := ownerOf(shard{service: "scan"}, candidates("1", "2", "3"), isFirst); next == a {
+		t.Errorf("excluded owner %v was returned", next)
 	}
 }
 
--- a/internal/dispatch/batcher/router.go
+++ b/internal/dispatch/batcher/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -10,7 +9,6 @@
 
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
-	"hawthornhub.example/hawthornhub/internal/fleet/rendezvous"
 	"hawthornhub.example/hawthornhub/internal/serve/batching"
 	"hawthornhub.example/hawthornhub/internal/serve/fairshare"
 	"hawthornhub.example/hawthornhub/internal/state/site"
@@ -24,10 +22,9 @@
 	Pool  *link.Pool
 	// Self is this process's link address.
 	Self string
-	// Owners returns the link addresses of the entries that may own services, those
-	// in an availability zone if there are any; an empty zone stands for all. This
-	// process may be one of them.
-	Owners func(zone string) []string
+	// Owners returns the entries that may own services, those in an availability zone
+	// if there are any; an empty zone stands for all. This process may be one of them.
+	Owners func(zone string) []Candidate
 	Log    *zap.Logger
 }
 
@@ -39,8 +36,8 @@
 	cancel  context.CancelFunc
 	mu      sync.Mutex
 	remotes map[string]*remoteOwner
-	// lostUntil is the end of the backoff from each lost owner, by address.
-	lostUntil map[string]time.Time
+	// lost holds the lost owners by address.
+	lost map[string]lostOwner
 	// backlogs are the last reported backlogs.
 	backlogs map[shard]reportedBacklog
 	// asked is what accounts have asked for since the last job was sent, by shard and
@@ -66,21 +63,11 @@
 
 // NewRouter returns a Router without streams.
 func NewRouter(cfg RouterConfig) *Router {
-	r := &Router{cfg: cfg, remotes: make(map[string]*remoteOwner), lostUntil: make(map[string]time.Time), backlogs: make(map[shard]reportedBacklog), asked: make(map[shard]map[string]int), sent: make(map[shard]map[string]int)}
+	r := &Router{cfg: cfg, remotes: make(map[string]*remoteOwner), lost: make(map[string]lostOwner), backlogs: make(map[shard]reportedBacklog), asked: make(map[shard]map[string]int), sent: make(map[shard]map[string]int)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
 }
 
-// ownerOf returns the address of a shard's owner among addresses without those
-// in excluded.
-func ownerOf(s shard, addresses []string, excluded map[string]bool) (string, bool) {
-	candidates := addresses
-	if len(excluded) > 0 {
-		candidates = slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return excluded[a] })
-	}
-	return rendezvous.Best(s.key(), candidates, func(a string) string { return a })
-}
-
 // Do runs a job at the owner of its service, or at the next owner if that one is
 // lost.
 func (r *Router) Do(ctx context.Context, job Job) Result {
@@ -176,11 +163,11 @@
 func (r *Router) route(ctx context.Context, job Job) Result {
 	start := time.Now()
 	for {
-		address, ok := r.owner(job.shard())
-		if !ok || address == r.cfg.Self {
+		owner, ok := r.owner(job.shard())
+		if !ok || owner.Link == r.cfg.Self {
 			return r.cfg.Owner.Do(ctx, job.WithElapsed(time.Since(start)))
 		}
-		result, err := r.forward(ctx, address, job.WithElapsed(time.Since(start)))
+		result, err := r.forward(ctx, owner.Link, job.WithElapsed(time.Since(start)))
 		if err == nil {
 			return result
 		}
@@ -188,69 +175,11 @@
 			return Failed{Err: ctx.Err()}
 		}
 		r.cfg.Log.Warn("owner of pieces lost, asking the next",
-			zap.String("request", job.RequestID), zap.String("service", job.Service), zap.String("owner", address), zap.Error(err))
-		r.markLost(address)
-	}
-}
-
-// owner returns the owner of a shard among the entries that were not lost
-// recently. After the backoff from a lost one, the first caller gets it for a trial, and
-// the others go on without it until that has succeeded.
-func (r *Router) owner(s shard) (string, bool) {
-	now := time.Now()
-	excluded := make(map[string]bool)
-	r.mu.Lock()
-	for address, until := range r.lostUntil {
-		if now.Sub(until) > lostRetention {
-			delete(r.lostUntil, address)
-			continue
-		}
-		excluded[address] = now.Before(until)
-	}
-	r.mu.Unlock()
-	address, ok := ownerOf(s, r.cfg.Owners(s.zone), excluded)
-	if _, lost := excluded[address]; lost && !r.beginTrial(address, now) {
-		excluded[address] = true
-		return ownerOf(s, r.cfg.Owners(s.zone), excluded)
-	}
-	return address, ok
-}
-
-// beginTrial reports whether the caller is the first to try a lost owner again.
-func (r *Router) beginTrial(address string, now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	until, lost := r.lostUntil[address]
-	if lost && now.Before(until) {
-		return false
+			zap.String("request", job.RequestID), zap.String("service", job.Service), zap.String("owner", owner.Link), zap.Error(err))
+		r.markLost(owner)
 	}
-	if lost {
-		r.lostUntil[address] = now.Add(connectTimeout)
-	}
-	return true
-}
-
-// markFound ends the backoff from an owner that is connected.
-func (r *Router) markFound(address string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.lostUntil, address)
 }
 
-// markLost starts the backoff from a lost owner.
-func (r *Router) markLost(address string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lostUntil[address] = time.Now().Add(lostOwnerBackoff)
-}
-
-// lostOwnerBackoff is how long a lost owner is sent no jobs.
-const lostOwnerBackoff = 3 * time.Second
-
-// lostRetention is how long after its backoff a lost owner that nobody has tried again is
-// remembered.
-const lostRetention = time.Minute
-
 // WithElapsed returns the job with its Timeout, Objective and InputsTTL reduced by d.
 func (j Job) WithElapsed(d time.Duration) Job {
 	j.Timeout -= d
@@ -310,8 +239,8 @@
 
 // releaseShard releases results without waiting for the owner of their shard.
 func (r *Router) releaseShard(s shard, handles []string) {
-	address, ok := r.owner(s)
-	if !ok || address == r.cfg.Self || !r.start(func() { r.releaseAt(address, s, handles) }) {
+	owner, ok := r.owner(s)
+	if !ok || owner.Link == r.cfg.Self || !r.start(func() { r.releaseAt(owner.Link, s, handles) }) {
 		r.cfg.Owner.release(s, handles)
 	}
 }
--- a/internal/dispatch/batcher/shard_test.go
+++ b/internal/dispatch/batcher/shard_test.go
@@ -82,9 +82,9 @@
 	own.cfg.Upstreams = func(string) []catalog.Upstream { return upstreams }
 	var asked []string
 	r := newRouter(t, own, "self", nil)
-	r.cfg.Owners = func(zone string) []string {
+	r.cfg.Owners = func(zone string) []Candidate {
 		asked = append(asked, zone)
-		return []string{"self"}
+		return candidates("self")
 	}
 	job := newJob("r", 4)
 	job.Zone = "b"
