batcher: estimate what results of other owners take from the memory that lacks

Cause: after an upstream ran out of memory, an owner filled it to half for 1.5 s. After all processes were killed, the results of the owners before take nearly all of it for up to 4 s, and each call found no room for its pieces.

Change: what lacks beyond the own results is the memory of others, which falls to 0 within the lifetime of results. It replaces the two constants.

--- a/internal/dispatch/batcher/call.go
+++ b/internal/dispatch/batcher/call.go
@@ -242,7 +242,7 @@
 		return piece.Job.Completed()
 	case ReasonNoMemory:
 		s.backoffUntil = now.Add(capacityBackoff)
-		s.memory.recordShortage(now)
+		s.memory.recordShortage(now, d.resultMemoryBytes, d.resultTTL)
 		d.retry(piece, w, errNoMemory)
 	default:
 		w.failures++
--- a/internal/dispatch/batcher/memory.go
+++ b/internal/dispatch/batcher/memory.go
@@ -2,39 +2,49 @@
 
 import "time"
 
-const (
-	// fillShare is the share of an upstream's result memory that is filled.
-	// Result sizes in the configuration are approximate.
-	fillShare = 0.92
-	// shortageFillShare replaces fillShare for shortageDuration after an
-	// upstream ran out of memory: it then also holds results of a previous
-	// owner, which are not accounted for here.
-	shortageFillShare = 0.5
-	shortageDuration  = 1500 * time.Millisecond
-)
+// fillShare is the share of an upstream's result memory that is filled. Result sizes in the
+// configuration are approximate.
+const fillShare = 0.92
 
 // resultMemory tracks the memory for results at one upstream.
 type resultMemory struct {
 	// reserved is the memory for the results of calls in progress.
 	reserved int64
 	held     map[string]heldResult
-	// shortageUntil is when shortageFillShare stops applying.
-	shortageUntil time.Time
+	// foreign is the memory that results of other owners took at shortageAt, the last time
+	// that the upstream ran out of memory. These expire within foreignTTL.
+	foreign    int64
+	shortageAt time.Time
+	foreignTTL time.Duration
 }
 
 // available returns how much of an upstream's memory of total bytes may still
 // be filled.
 func (m *resultMemory) available(now time.Time, total int64) int64 {
-	share := fillShare
-	if now.Before(m.shortageUntil) {
-		share = shortageFillShare
+	return int64(fillShare*float64(total)) - m.used(now) - m.foreignAt(now)
+}
+
+// recordShortage notes that the upstream has no memory left: what the results of this owner
+// do not take is taken by those of another one, such as the owner before. They expire one
+// after the other within ttl.
+func (m *resultMemory) recordShortage(now time.Time, total int64, ttl time.Duration) {
+	m.foreign, m.shortageAt, m.foreignTTL = max(0, total-m.used(now)), now, ttl
+}
+
+// foreignAt returns the memory that results of other owners are expected to take.
+func (m *resultMemory) foreignAt(now time.Time) int64 {
+	left := m.foreignTTL - now.Sub(m.shortageAt)
+	if left <= 0 {
+		return 0
 	}
-	return int64(share*float64(total)) - m.used(now)
+	return int64(float64(m.foreign) * left.Seconds() / m.foreignTTL.Seconds())
 }
 
-// recordShortage notes that the upstream had less memory free than available
-// returned.
-func (m *resultMemory) recordShortage(now time.Time) { m.shortageUntil = now.Add(shortageDuration) }
+// short reports whether results of other owners are expected to take more than the part of
+// the memory that is left free.
+func (m *resultMemory) short(now time.Time, total int64) bool {
+	return m.foreignAt(now) > total-int64(fillShare*float64(total))
+}
 
 // heldResult is one result that an upstream holds.
 type heldResult struct {
--- a/internal/dispatch/batcher/owner.go
+++ b/internal/dispatch/batcher/owner.go
@@ -353,7 +353,7 @@
 func (d *dispatcher) startCall(now time.Time, u catalog.Upstream, batch []batching.Piece) {
 	s := d.upstream(u.ID)
 	s.inFlight++
-	s.busy = !s.idle || now.Before(s.memory.shortageUntil)
+	s.busy = !s.idle || s.memory.short(now, d.resultMemoryBytes)
 	for _, piece := range batch {
 		s.memory.reserved += piece.Job.ResultBytes
 		w := d.waiters[piece.Job]
