--- a/internal/dispatch/batcher/call.go
+++ b/internal/dispatch/batcher/call.go
@@ -134,6 +134,8 @@
 	now := time.Now()
 	s := d.upstream(u.ID)
 	s.inFlight--
+	defer d.announceFetched(s, batch)()
+	s.idle = failed == nil
 	for i, piece := range batch {
 		s.memory.reserved -= piece.Job.ResultBytes
 		if i < len(outputs) && outputs[i].Reason == ReasonNone {
@@ -240,7 +242,7 @@
 		return piece.Job.Completed()
 	case ReasonNoMemory:
 		s.backoffUntil = now.Add(capacityBackoff)
-		s.memory.recordShortage(now)
+		s.memory.recordShortage(now, d.resultMemoryBytes, d.resultTTL)
 		d.retry(piece, w, errNoMemory)
 	default:
 		w.failures++
