batching: a backlog counts what admitted requests will still send

Work that has been admitted and is in an earlier stage is in no queue of the later ones, so too much of it started. A queue now takes commitments by rank and account. Backlog counts them like jobs on time; the order of the queue and Admit do not.

--- a/internal/serve/batching/queue.go
+++ b/internal/serve/batching/queue.go
@@ -45,6 +45,8 @@
 	lanes   lanes
 	waiting int
 	fair    sharing
+	// committed is what admitted requests will still send.
+	committed committed
 }
 
 // NewQueue returns an empty Queue.
@@ -101,29 +103,37 @@
 	return time.Duration(float64(n) / q.rate(upstreams) * float64(time.Second))
 }
 
+// PieceWait returns what each further piece adds to a delay, 0 if there is no capacity.
+func (q *Queue) PieceWait(upstreams float64) time.Duration {
+	if upstreams == 0 {
+		return 0
+	}
+	return q.wait(1, upstreams)
+}
+
 // Backlog returns the expected queueing delay: at each rank that of the jobs on
-// time, and in total that of all jobs. upstreams is the capacity, in upstreams of
-// normal speed.
+// time, and in total that of all jobs. Committed pieces count like those of jobs on time.
+// upstreams is the capacity, in upstreams of normal speed.
 func (q *Queue) Backlog(now time.Time, upstreams float64) Backlog {
 	if upstreams == 0 {
 		return Backlog{Total: q.Duration(q.cfg.MaxBatch)}
 	}
 	q.updateShares(now, upstreams)
 	q.lanes.advance(now)
-	scarce := q.fair.meter.Scarce()
-	out := Backlog{Total: q.wait(q.waiting, upstreams)}
+	scarce, over := q.fair.meter.Scarce(), q.over()
+	out := Backlog{Total: q.wait(q.waiting+q.committed.pieces, upstreams)}
 	urgent := 0
-	for _, r := range q.lanes.ranks {
+	q.byRank(func(r *rankLanes, c *committedRank) {
 		if scarce {
-			below := urgent + r.groups[fairshare.Below][onTime].pieces + r.groups[fairshare.Below][late].pieces
+			below := urgent + r.groups[fairshare.Below][onTime].pieces + r.groups[fairshare.Below][late].pieces + c.below(over)
 			out.Below = append(out.Below, RankWait{Rank: r.rank, Wait: q.wait(below, upstreams)})
 		}
-		urgent += r.urgent(scarce)
-		if r.jobs[onTime].pieces() > 0 {
+		urgent += r.urgent(scarce) + c.pieces
+		if r.jobs[onTime].pieces()+c.pieces > 0 {
 			out.Ranks = append(out.Ranks, RankWait{Rank: r.rank, Wait: q.wait(urgent, upstreams)})
 		}
-	}
-	out.Over = q.overWaits(out.Total, upstreams)
+	})
+	out.Over = q.overWaits(over, out.Total, upstreams)
 	return out
 }
 
--- a/internal/serve/batching/sharing.go
+++ b/internal/serve/batching/sharing.go
@@ -53,17 +53,24 @@
 	}
 }
 
+// over returns the accounts that ask for more than their share, none if nothing is scarce.
+func (q *Queue) over() map[string]fairshare.Standing {
+	if !q.fair.on || !q.fair.meter.Scarce() {
+		return nil
+	}
+	return q.fair.meter.Over(maxReported)
+}
+
 // overWaits returns the delays of the accounts that ask for more than their share. total is
 // the delay behind all jobs.
-func (q *Queue) overWaits(total time.Duration, upstreams float64) map[string]AccountWait {
-	if !q.fair.on || !q.fair.meter.Scarce() {
+func (q *Queue) overWaits(over map[string]fairshare.Standing, total time.Duration, upstreams float64) map[string]AccountWait {
+	if over == nil {
 		return nil
 	}
-	over := q.fair.meter.Over(maxReported)
 	out := make(map[string]AccountWait, len(over))
-	waiting, piece := q.wait(q.lanes.onTimePieces(), upstreams), q.wait(1, upstreams)
+	waiting, piece := q.wait(q.lanes.onTimePieces()+q.committed.pieces, upstreams), q.wait(1, upstreams)
 	for account, standing := range over {
-		own, pieceWork := time.Duration(q.lanes.own(account)[onTime])*q.pieceWork(), q.pieceWork()
+		own, pieceWork := time.Duration(q.lanes.own(account)[onTime]+q.committed.own(account))*q.pieceWork(), q.pieceWork()
 		if q.mayFill(standing, waiting) {
 			own, pieceWork = 0, 0
 		}
