batcher: gateways commit pieces at the owner, and get its backlog in return

Reports of a backlog came with results only. The owner keeps the latest of each stream and drops them with it.

A job that is abandoned while its result is on the way was forgotten, and its results stayed until they expired. The Router now releases them when they arrive.

--- a/internal/dispatch/batcher/remote.go
+++ b/internal/dispatch/batcher/remote.go
@@ -195,6 +195,7 @@
 	stop := context.AfterFunc(ctx, func() { st.Close() })
 	s := &peerSession{owner: o, stream: st, cancels: make(map[uint64]context.CancelFunc)}
 	defer s.wg.Wait()
+	defer s.committed.drop(o)
 	defer stop()
 	defer cancel()
 	for e := first; ; {
@@ -214,7 +215,10 @@
 	mu     sync.Mutex
 	// cancels are the cancel functions of the running jobs, by ID.
 	cancels map[uint64]context.CancelFunc
-	wg      sync.WaitGroup
+	// committed are the commitments of the process. Only Serve uses them.
+	committed heldCommitments
+	replies   replies
+	wg        sync.WaitGroup
 }
 
 func (s *peerSession) handle(ctx context.Context, e *fleetpb.Envelope) {
@@ -229,6 +233,8 @@
 		s.mu.Unlock()
 	case *fleetpb.Envelope_PieceRelease:
 		s.owner.release(shard{service: body.PieceRelease.Service, zone: body.PieceRelease.Shard}, body.PieceRelease.Handles)
+	case *fleetpb.Envelope_PieceCommitments:
+		s.commit(body.PieceCommitments)
 	}
 }
 
--- a/internal/dispatch/batcher/remoteowner.go
+++ b/internal/dispatch/batcher/remoteowner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -26,6 +27,10 @@
 	lost    chan struct{}
 	nextID  uint64
 	pending map[uint64]pendingJob
+	// onBacklog is called with each response to commitments.
+	onBacklog func(*fleetpb.PieceBacklog)
+	// release releases results that nobody waits for.
+	release func(s shard, handles []string)
 }
 
 // opening is an attempt to open a stream. All jobs for the owner share it and its end.
@@ -39,6 +44,9 @@
 type pendingJob struct {
 	done         chan Result
 	onDispatched func()
+	shard        shard
+	// abandoned is set once nobody waits for the result any more.
+	abandoned bool
 }
 
 // connect returns the owner at an address once a stream to it is open, or an error when
@@ -67,7 +75,11 @@
 	defer r.mu.Unlock()
 	o := r.remotes[address]
 	if o == nil {
-		o = &remoteOwner{pending: make(map[uint64]pendingJob)}
+		o = &remoteOwner{
+			pending:   make(map[uint64]pendingJob),
+			onBacklog: func(m *fleetpb.PieceBacklog) { r.applyBacklog(address, m) },
+			release:   r.releaseShard,
+		}
 		r.remotes[address] = o
 	}
 	return o
@@ -138,27 +150,52 @@
 	o.mu.Lock()
 	o.nextID++
 	id, lost := o.nextID, o.lost
-	o.pending[id] = pendingJob{done: done, onDispatched: job.OnDispatched}
+	o.pending[id] = pendingJob{done: done, onDispatched: job.OnDispatched, shard: job.shard()}
 	o.mu.Unlock()
-	defer o.removePending(id)
 	if err := o.send(&fleetpb.Envelope{Body: &fleetpb.Envelope_PieceCall{PieceCall: job.pieceCall(id)}}); err != nil {
+		o.takePending(id)
 		return nil, err
 	}
 	select {
 	case r := <-done:
 		return r, nil
 	case <-lost:
+		o.takePending(id)
 		return nil, errOwnerLost
 	case <-ctx.Done():
+		if !o.abandon(id, lost) {
+			return <-done, nil
+		}
 		err := o.send(&fleetpb.Envelope{Body: &fleetpb.Envelope_PieceCancel{PieceCancel: &fleetpb.PieceCancel{Id: id}}})
 		return nil, errors.Join(ctx.Err(), err)
 	}
 }
 
-func (o *remoteOwner) removePending(id uint64) {
+// takePending removes a job and returns it, without a channel if it has been taken before.
+func (o *remoteOwner) takePending(id uint64) pendingJob {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	w := o.pending[id]
 	delete(o.pending, id)
+	return w
+}
+
+// abandon keeps a job for which nobody waits any more until its result arrives or its
+// stream ends, which lost shows: the results may exist already, and must be released. It
+// reports false if the result has arrived.
+func (o *remoteOwner) abandon(id uint64, lost chan struct{}) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	w, pending := o.pending[id]
+	if !pending {
+		return false
+	}
+	if w.abandoned = true; o.stream != nil && o.lost == lost {
+		o.pending[id] = w
+	} else {
+		delete(o.pending, id)
+	}
+	return true
 }
 
 // receive delivers results until the stream ends.
@@ -166,6 +203,7 @@
 	defer func() {
 		o.mu.Lock()
 		o.stream = nil
+		maps.DeleteFunc(o.pending, func(_ uint64, w pendingJob) bool { return w.abandoned })
 		o.mu.Unlock()
 		close(lost)
 		st.Close()
@@ -175,17 +213,32 @@
 		if err != nil {
 			return
 		}
-		result := e.GetPieceResult()
+		if backlog := e.GetPieceBacklog(); backlog != nil {
+			o.onBacklog(backlog)
+			continue
+		}
+		o.deliver(e.GetPieceResult())
+	}
+}
+
+// deliver passes on the result of a job, or that its last piece was dispatched.
+func (o *remoteOwner) deliver(m *fleetpb.PieceResult) {
+	if m.GetDispatched() {
 		o.mu.Lock()
-		w := o.pending[result.GetId()]
+		w := o.pending[m.GetId()]
 		o.mu.Unlock()
-		switch {
-		case result.GetDispatched():
-			if w.onDispatched != nil {
-				w.onDispatched()
-			}
-		case w.done != nil:
-			w.done <- resultOf(result)
+		if w.onDispatched != nil && !w.abandoned {
+			w.onDispatched()
+		}
+		return
+	}
+	w := o.takePending(m.GetId())
+	switch {
+	case w.abandoned:
+		if completed, ok := resultOf(m).(Completed); ok {
+			o.release(w.shard, completed.Handles)
 		}
+	case w.done != nil:
+		w.done <- resultOf(m)
 	}
 }
--- a/internal/dispatch/batcher/router.go
+++ b/internal/dispatch/batcher/router.go
@@ -51,7 +51,9 @@
 	sent map[shard]map[string]int
 	// counted is set once Asked has been called.
 	counted bool
-	wg      sync.WaitGroup
+	// commitments are what the admitted requests of this process will still send.
+	commitments commitments
+	wg          sync.WaitGroup
 }
 
 // reportedBacklog is a backlog that an owner reported with a result.
