--- a/internal/serve/pace/pace.go
+++ b/internal/serve/pace/pace.go
@@ -53,11 +53,7 @@
 
 // Decide decides whether a request starts now, is held or is refused.
 func Decide(r Request) Decision {
-	margin := onTimeMargin + marginPerRank*float64(max(0, r.Rank))
-	if r.Returned {
-		margin = 1
-	}
-	need := time.Duration(float64(r.Work+r.Wait) * margin)
+	need := time.Duration(float64(r.Work+r.Wait) * margin(r.Rank, r.Returned))
 	if need <= r.UntilObjective || r.TotalWait <= shortWait && r.Work+r.TotalWait <= r.UntilDeadline {
 		return Start{}
 	}
@@ -66,3 +62,11 @@
 	}
 	return Hold{For: recheckInterval}
 }
+
+// margin returns the multiple of the expected time that must remain until the objective.
+func margin(rank int, returned bool) float64 {
+	if returned {
+		return 1
+	}
+	return onTimeMargin + marginPerRank*float64(max(0, rank))
+}
