gateway: admitted requests commit the pieces of their stages

With Config.Commit the admission decides by DecideChain, and a request commits the pieces of all its stages when it is admitted. A commitment ends when the job of the stage is sent or the stages end. The time after a stage counts no queues then: they hold the request itself. Without it nothing changes.

--- a/internal/api/gateway/admission.go
+++ b/internal/api/gateway/admission.go
@@ -24,26 +24,13 @@
 func (q *request) awaitAdmission(ctx context.Context) *failure {
 	held := false
 	for {
-		path := q.criticalPath()
-		r := pace.Request{
-			Work:           path.work,
-			Wait:           path.wait,
-			TotalWait:      path.totalWait,
-			UntilObjective: time.Until(q.start.Add(q.route.Objective)),
-			UntilDeadline:  q.timeToAbandon(),
-			Rank:           q.rank.RoutePriority(),
-			Returned:       q.returned,
-		}
-		if q.server.fair() {
-			// A response that comes when the caller has given up is of no use, whatever
-			// the objective of the route.
-			r.UntilObjective = min(r.UntilObjective, r.UntilDeadline)
-		}
-		switch d := pace.Decide(r).(type) {
+		decision, fields := q.decideAdmission()
+		switch d := decision.(type) {
 		case pace.Start:
 			if held {
-				q.server.cfg.Log.Info("held request admitted", q.fields(path.fields(q.rank)...)...)
+				q.server.cfg.Log.Info("held request admitted", q.fields(fields...)...)
 			}
+			q.commitStages()
 			return nil
 		case pace.Refuse:
 			return unavailable("the stages cannot be made before the caller gives up", max(defaultRetryAfter, d.RetryAfter))
@@ -52,7 +39,7 @@
 				return q.stopping()
 			}
 			if !held {
-				q.server.cfg.Log.Info("request held back", q.fields(path.fields(q.rank)...)...)
+				q.server.cfg.Log.Info("request held back", q.fields(fields...)...)
 			}
 			held = true
 			select {
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"hawthornhub.example/hawthornhub/internal/dispatch/batcher"
 	"hawthornhub.example/hawthornhub/internal/dispatch/transport"
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
@@ -45,6 +46,9 @@
 	// zone caches the result of stageZone.
 	zone   string
 	stages []stageState
+	// commitments are what the owners know of the stages whose jobs are not sent, empty if
+	// nothing is reserved.
+	commitments []*batcher.Commitment
 	// reruns is how often stages were run again because results had expired.
 	reruns int
 	// stagesTook is the time from start until all stages were complete.
--- a/internal/api/gateway/stages.go
+++ b/internal/api/gateway/stages.go
@@ -71,6 +71,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer q.withdrawStages()
 	r := &stageRun{request: q, ctx: ctx, events: make(chan stageEvent, 2*n*(maxReruns+1))}
 	for {
 		r.startReady()
@@ -110,6 +111,7 @@
 			r.events <- stageEvent{stage: i, result: batcher.Completed{}}
 			continue
 		}
+		r.sentStage(i)
 		go func() {
 			start := time.Now()
 			result := r.runStage(job)
@@ -248,7 +250,7 @@
 	longest := time.Duration(0)
 	for i := stage + 1; i < len(q.route.Stages); i++ {
 		if slices.Contains(q.route.Stages[i].DependsOn, stage) {
-			longest = max(longest, q.expectedTime(i)+q.stagesAfter(i))
+			longest = max(longest, q.expectedTimeAfter(i)+q.stagesAfter(i))
 		}
 	}
 	return longest
@@ -266,6 +268,16 @@
 	return max(left, q.expectedTime(stage)+q.timeAfter(stage))
 }
 
+// expectedTimeAfter is the expected time of a stage that is not started. Where capacity is
+// reserved, the queue does not count: the reported backlog holds the pieces of the stage
+// itself and of requests behind this one, and the admission has counted it.
+func (q *request) expectedTimeAfter(stage int) time.Duration {
+	if q.server.reserves() {
+		return q.expectedCallTime(stage)
+	}
+	return q.expectedTime(stage)
+}
+
 // expectedTime is the expected time of a stage, including its queue wait.
 func (q *request) expectedTime(stage int) time.Duration {
 	callTime := q.expectedCallTime(stage)
@@ -341,6 +353,7 @@
 			}
 		}
 	}
+	q.commitStages()
 	return true
 }
 
