--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -148,6 +148,7 @@
 		Log:       g.log,
 	})
 	g.batchRouter = batcher.NewRouter(batcher.RouterConfig{Owner: g.batchOwner, Pool: g.pool, Self: s.Listen.Link, Owners: g.batchOwnerAddresses, Log: g.log})
+	queueWait, commit := g.stageQueues()
 	g.server = gateway.NewServer(gateway.Config{
 		Headers:        platform.HeaderCodec(),
 		Send:           g.transport.Send,
@@ -161,7 +162,8 @@
 		NextCall:       g.nextCall,
 		RunStage:       g.batchRouter.Do,
 		ReleaseResults: g.batchRouter.Release,
-		QueueWait:      g.batchRouter.QueueWait,
+		QueueWait:      queueWait,
+		Commit:         commit,
 		Fair:           g.sharesByAccount,
 		Asked:          g.batchRouter.Asked,
 		Standing:       g.batchRouter.Standing,
@@ -208,7 +210,7 @@
 // services whose batching this one owns, or reports on the capacity of upstreams.
 func (g *gatewayProcess) handle(ctx context.Context, st *link.Stream, first *fleetpb.Envelope) {
 	switch first.Body.(type) {
-	case *fleetpb.Envelope_PieceCall, *fleetpb.Envelope_PieceRelease:
+	case *fleetpb.Envelope_PieceCall, *fleetpb.Envelope_PieceRelease, *fleetpb.Envelope_PieceCommitments:
 		g.batchOwner.Serve(ctx, st, first)
 	case *fleetpb.Envelope_CapacityReport:
 		if x := g.pooling.Load(); x != nil {
@@ -459,6 +461,7 @@
 	scope.Gauge("document_received_bytes").Update(float64(received.DocumentBytes))
 	g.updateAccounts(scope)
 	g.updateBackoffs(scope)
+	g.updateCommitments(scope)
 	halfOpen, open := g.breakers.Counts()
 	scope.Gauge("breakers_half_open").Update(float64(halfOpen))
 	scope.Gauge("breakers_open").Update(float64(open))
--- a/internal/operator/settings/site.go
+++ b/internal/operator/settings/site.go
@@ -36,6 +36,16 @@
 	Capacity SiteCapacity `toml:"capacity"`
 	Fair     SiteFair     `toml:"fair"`
 	Cold     SiteCold     `toml:"cold"`
+	Chains   SiteChains   `toml:"chains"`
+}
+
+// SiteChains configures how requests with stages start.
+type SiteChains struct {
+	// Reserve tells the owners of later stages what admitted requests will send them, and
+	// starts a request when the queues of all its stages, with that, leave it enough time.
+	// It is set on all gateways or on none: one without it takes more than its part. The
+	// default is false.
+	Reserve bool `toml:"reserve"`
 }
 
 // SiteCapacity configures how a gateway judges the capacity of upstreams.
