--- a/internal/serve/batching/committed.go
+++ b/internal/serve/batching/committed.go
@@ -2,12 +2,25 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+	"time"
 
 	"hawthornhub.example/hawthornhub/internal/serve/fairshare"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
+const (
+	// demandWindow is the time constant of the average of arriving pieces. It is longer than
+	// the gaps between the jobs of a rank under load, and shorter than a load peak.
+	demandWindow = 2 * time.Second
+	// maxUrgentLoad bounds the load of more urgent ranks that a delay allows for, so that a
+	// short peak does not keep the less urgent ones out.
+	maxUrgentLoad = 0.8
+	// minDemand is the number of pieces in the average below which a rank is forgotten.
+	minDemand = 0.01
+)
+
 // Commitment is a number of pieces of a rank and an account that admitted requests will
 // still send. They wait for the results of earlier stages.
 type Commitment struct {
@@ -16,59 +29,94 @@
 	Pieces  int
 }
 
-// committed holds the commitments of a queue. The zero value holds none.
-type committed struct {
-	// ranks is in ascending order, and holds the ranks with pieces alone.
-	ranks  []*committedRank
+// demand is what a queue must expect besides its jobs. The zero value expects nothing, and
+// does so until the first commitment.
+type demand struct {
+	used bool
+	// ranks is in ascending order.
+	ranks  []*rankDemand
 	pieces int
 }
 
-// committedRank holds the commitments of one rank.
-type committedRank struct {
-	rank     site.Rank
+// rankDemand is the demand of one rank.
+type rankDemand struct {
+	rank site.Rank
+	// pieces is the number of committed pieces, accounts that of each account.
 	pieces   int
 	accounts map[string]int
+	// arrived is the number of pieces that have arrived, weighted by their age as of at.
+	arrived float64
+	at      time.Time
 }
 
-// noCommitments stands for a rank without commitments.
-var noCommitments committedRank
+// noDemand stands for a rank without demand.
+var noDemand rankDemand
 
 // Commit adds a number of pieces to the commitments of a rank and an account, or takes it
 // off if it is negative. Only Backlog counts commitments: the order of the queue and Admit
 // are about jobs that have arrived.
-func (q *Queue) Commit(c Commitment) { q.committed.add(c) }
+func (q *Queue) Commit(c Commitment) { q.demand.commit(c) }
 
 // Committed returns the number of pieces that are committed.
-func (q *Queue) Committed() int { return q.committed.pieces }
+func (q *Queue) Committed() int { return q.demand.pieces }
 
-func (s *committed) add(c Commitment) {
-	i, ok := slices.BinarySearchFunc(s.ranks, c.Rank, func(r *committedRank, rank site.Rank) int { return cmp.Compare(r.rank, rank) })
-	if !ok {
-		s.ranks = slices.Insert(s.ranks, i, &committedRank{rank: c.Rank, accounts: make(map[string]int)})
-	}
-	r := s.ranks[i]
-	s.pieces += c.Pieces
+func (d *demand) commit(c Commitment) {
+	d.used = true
+	r := d.rank(c.Rank)
+	d.pieces += c.Pieces
 	r.pieces += c.Pieces
 	r.accounts[c.Account] += c.Pieces
 	if r.accounts[c.Account] == 0 {
 		delete(r.accounts, c.Account)
 	}
-	if len(r.accounts) == 0 {
-		s.ranks = slices.Delete(s.ranks, i, i+1)
+}
+
+// arrive records pieces that have arrived.
+func (d *demand) arrive(now time.Time, rank site.Rank, pieces int) {
+	if d.used {
+		r := d.rank(rank)
+		r.arrived, r.at = r.weighted(now)+float64(pieces), now
+	}
+}
+
+// rank returns the demand of a rank.
+func (d *demand) rank(rank site.Rank) *rankDemand {
+	i, ok := slices.BinarySearchFunc(d.ranks, rank, func(r *rankDemand, rank site.Rank) int { return cmp.Compare(r.rank, rank) })
+	if !ok {
+		d.ranks = slices.Insert(d.ranks, i, &rankDemand{rank: rank, accounts: make(map[string]int)})
 	}
+	return d.ranks[i]
+}
+
+// forget removes the ranks without demand.
+func (d *demand) forget(now time.Time) {
+	d.ranks = slices.DeleteFunc(d.ranks, func(r *rankDemand) bool { return len(r.accounts) == 0 && r.weighted(now) < minDemand })
 }
 
 // own returns the committed pieces of an account.
-func (s *committed) own(account string) int {
+func (d *demand) own(account string) int {
 	sum := 0
-	for _, r := range s.ranks {
+	for _, r := range d.ranks {
 		sum += r.accounts[account]
 	}
 	return sum
 }
 
+// weighted returns the pieces that have arrived, weighted by their age.
+func (r *rankDemand) weighted(now time.Time) float64 {
+	if r.arrived == 0 {
+		return 0
+	}
+	return r.arrived * math.Exp(-max(0, now.Sub(r.at)).Seconds()/demandWindow.Seconds())
+}
+
+// perSecond returns the pieces that arrive in a second.
+func (r *rankDemand) perSecond(now time.Time) float64 {
+	return r.weighted(now) / demandWindow.Seconds()
+}
+
 // below returns the committed pieces of the accounts that are not over their share.
-func (r *committedRank) below(over map[string]fairshare.Standing) int {
+func (r *rankDemand) below(over map[string]fairshare.Standing) int {
 	sum := r.pieces
 	for account := range over {
 		sum -= r.accounts[account]
@@ -76,20 +124,71 @@
 	return sum
 }
 
-// byRank visits the ranks with jobs or commitments in ascending order.
-func (q *Queue) byRank(visit func(r *rankLanes, c *committedRank)) {
-	lanes, pending := q.lanes.ranks, q.committed.ranks
-	for len(lanes) > 0 || len(pending) > 0 {
+// delays accumulates the delays of a Backlog over the ranks, the most urgent first.
+type delays struct {
+	queue     *Queue
+	now       time.Time
+	upstreams float64
+	// urgent is the number of pieces of the ranks so far, and arriving what arrives of them
+	// in a second and goes before less urgent work.
+	urgent   int
+	arriving float64
+}
+
+// delay returns the delay of a rank due to a number of pieces, if what arrives of the ranks
+// so far goes first.
+func (d *delays) delay(pieces int) time.Duration {
+	load := min(maxUrgentLoad, d.arriving/d.queue.rate(d.upstreams))
+	return time.Duration(float64(d.queue.wait(pieces, d.upstreams)) / (1 - load))
+}
+
+// Backlog returns the expected queueing delay: at each rank that of the jobs on
+// time, and in total that of all jobs. Committed pieces count like those of jobs on time.
+// upstreams is the capacity, in upstreams of normal speed.
+func (q *Queue) Backlog(now time.Time, upstreams float64) Backlog {
+	if upstreams == 0 {
+		return Backlog{Total: q.Duration(q.cfg.MaxBatch)}
+	}
+	q.updateShares(now, upstreams)
+	q.lanes.advance(now)
+	q.demand.forget(now)
+	scarce, over := q.fair.meter.Scarce(), q.over()
+	out := Backlog{Total: q.wait(q.waiting+q.demand.pieces, upstreams)}
+	d := delays{queue: q, now: now, upstreams: upstreams}
+	q.byRank(func(r *rankLanes, want *rankDemand) {
+		if scarce {
+			below := d.urgent + r.groups[fairshare.Below][onTime].pieces + r.groups[fairshare.Below][late].pieces + want.below(over)
+			out.Below = append(out.Below, RankWait{Rank: r.rank, Wait: d.delay(below)})
+		}
+		d.urgent += r.urgent(scarce) + want.pieces
+		if r.jobs[onTime].pieces()+want.pieces > 0 {
+			out.Ranks = append(out.Ranks, RankWait{Rank: r.rank, Wait: d.delay(d.urgent)})
+		}
+		if want.arrived > 0 {
+			d.arriving += want.perSecond(now)
+			// What arrives of this rank delays those after it, with jobs or without. An entry of
+			// the next rank itself follows and counts.
+			out.Ranks = append(out.Ranks, RankWait{Rank: r.rank + 1, Wait: d.delay(d.urgent)})
+		}
+	})
+	out.Over = q.overWaits(over, out.Total, upstreams)
+	return out
+}
+
+// byRank visits the ranks with jobs or demand in ascending order.
+func (q *Queue) byRank(visit func(r *rankLanes, want *rankDemand)) {
+	lanes, wanted := q.lanes.ranks, q.demand.ranks
+	for len(lanes) > 0 || len(wanted) > 0 {
 		switch {
-		case len(pending) == 0 || len(lanes) > 0 && lanes[0].rank < pending[0].rank:
-			visit(lanes[0], &noCommitments)
+		case len(wanted) == 0 || len(lanes) > 0 && lanes[0].rank < wanted[0].rank:
+			visit(lanes[0], &noDemand)
 			lanes = lanes[1:]
-		case len(lanes) == 0 || pending[0].rank < lanes[0].rank:
-			visit(&rankLanes{rank: pending[0].rank}, pending[0])
-			pending = pending[1:]
+		case len(lanes) == 0 || wanted[0].rank < lanes[0].rank:
+			visit(&rankLanes{rank: wanted[0].rank}, wanted[0])
+			wanted = wanted[1:]
 		default:
-			visit(lanes[0], pending[0])
-			lanes, pending = lanes[1:], pending[1:]
+			visit(lanes[0], wanted[0])
+			lanes, wanted = lanes[1:], wanted[1:]
 		}
 	}
 }
--- a/internal/serve/batching/queue.go
+++ b/internal/serve/batching/queue.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"hawthornhub.example/hawthornhub/internal/serve/fairshare"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
@@ -45,8 +44,8 @@
 	lanes   lanes
 	waiting int
 	fair    sharing
-	// committed is what admitted requests will still send.
-	committed committed
+	// demand is what Backlog counts besides the jobs.
+	demand demand
 }
 
 // NewQueue returns an empty Queue.
@@ -111,32 +110,6 @@
 	return q.wait(1, upstreams)
 }
 
-// Backlog returns the expected queueing delay: at each rank that of the jobs on
-// time, and in total that of all jobs. Committed pieces count like those of jobs on time.
-// upstreams is the capacity, in upstreams of normal speed.
-func (q *Queue) Backlog(now time.Time, upstreams float64) Backlog {
-	if upstreams == 0 {
-		return Backlog{Total: q.Duration(q.cfg.MaxBatch)}
-	}
-	q.updateShares(now, upstreams)
-	q.lanes.advance(now)
-	scarce, over := q.fair.meter.Scarce(), q.over()
-	out := Backlog{Total: q.wait(q.waiting+q.committed.pieces, upstreams)}
-	urgent := 0
-	q.byRank(func(r *rankLanes, c *committedRank) {
-		if scarce {
-			below := urgent + r.groups[fairshare.Below][onTime].pieces + r.groups[fairshare.Below][late].pieces + c.below(over)
-			out.Below = append(out.Below, RankWait{Rank: r.rank, Wait: q.wait(below, upstreams)})
-		}
-		urgent += r.urgent(scarce) + c.pieces
-		if r.jobs[onTime].pieces()+c.pieces > 0 {
-			out.Ranks = append(out.Ranks, RankWait{Rank: r.rank, Wait: q.wait(urgent, upstreams)})
-		}
-	})
-	out.Over = q.overWaits(over, out.Total, upstreams)
-	return out
-}
-
 // Admit reports whether a job can be completed before its deadline, given the
 // jobs that are served before it. If it can't, Admit returns the time after which
 // to retry. upstreams is the capacity, in upstreams of normal speed.
@@ -157,6 +130,7 @@
 func (q *Queue) Push(j *Job) {
 	q.insert(j.Arrived, j)
 	q.waiting += len(j.pending)
+	q.demand.arrive(j.Arrived, j.Rank, len(j.pending))
 }
 
 func (q *Queue) insert(now time.Time, j *Job) {
--- a/internal/serve/batching/sharing.go
+++ b/internal/serve/batching/sharing.go
@@ -68,9 +68,9 @@
 		return nil
 	}
 	out := make(map[string]AccountWait, len(over))
-	waiting, piece := q.wait(q.lanes.onTimePieces()+q.committed.pieces, upstreams), q.wait(1, upstreams)
+	waiting, piece := q.wait(q.lanes.onTimePieces()+q.demand.pieces, upstreams), q.wait(1, upstreams)
 	for account, standing := range over {
-		own, pieceWork := time.Duration(q.lanes.own(account)[onTime]+q.committed.own(account))*q.pieceWork(), q.pieceWork()
+		own, pieceWork := time.Duration(q.lanes.own(account)[onTime]+q.demand.own(account))*q.pieceWork(), q.pieceWork()
 		if q.mayFill(standing, waiting) {
 			own, pieceWork = 0, 0
 		}
--- a/internal/serve/pace/chain.go
+++ b/internal/serve/pace/chain.go
@@ -144,10 +144,9 @@
 	work := c.forecast(noQueues, 0).End
 	out := Outcome{OnTime: c.forecast(queuesOnTime, 0), Late: c.forecast(queuesLate, 0)}
 	behind := out.Late.End - work
-	onTime := c.onTime(out.OnTime.End) && out.OnTime.Excess == 0
-	soon := behind <= shortWait && out.Late.End <= c.UntilDeadline && out.Late.Excess == 0
+	soon := behind <= shortWait && out.Late.End <= c.UntilDeadline
 	switch {
-	case onTime || soon:
+	case out.OnTime.Excess == 0 && (soon || c.onTime(out.OnTime.End)):
 		out.Decision = Start{}
 	case out.Late.End > c.UntilDeadline:
 		out.Decision = Refuse{RetryAfter: behind}
