--- a/internal/serve/batching/committed.go
+++ b/internal/serve/batching/committed.go
@@ -34,16 +34,37 @@
 type demand struct {
 	used bool
 	// ranks is in ascending order.
-	ranks  []*rankDemand
+	ranks    []*rankDemand
+	accounts map[string]*accountDemand
+	pieces   int
+}
+
+// accountDemand is the number of committed pieces of one account.
+type accountDemand struct {
 	pieces int
+	// ranks holds the commitments by rank, in no order.
+	ranks []Commitment
+}
+
+// add changes the number of pieces of a rank.
+func (a *accountDemand) add(c Commitment) {
+	a.pieces += c.Pieces
+	i := slices.IndexFunc(a.ranks, func(r Commitment) bool { return r.Rank == c.Rank })
+	switch {
+	case i < 0:
+		a.ranks = append(a.ranks, c)
+	case a.ranks[i].Pieces+c.Pieces == 0:
+		a.ranks = slices.Delete(a.ranks, i, i+1)
+	default:
+		a.ranks[i].Pieces += c.Pieces
+	}
 }
 
 // rankDemand is the demand of one rank.
 type rankDemand struct {
 	rank site.Rank
-	// pieces is the number of committed pieces, accounts that of each account.
-	pieces   int
-	accounts map[string]int
+	// pieces is the number of committed pieces.
+	pieces int
 	// arrived is the number of pieces that have arrived, weighted by their age as of at.
 	arrived float64
 	at      time.Time
@@ -62,12 +83,18 @@
 
 func (d *demand) commit(c Commitment) {
 	d.used = true
-	r := d.rank(c.Rank)
 	d.pieces += c.Pieces
-	r.pieces += c.Pieces
-	r.accounts[c.Account] += c.Pieces
-	if r.accounts[c.Account] == 0 {
-		delete(r.accounts, c.Account)
+	d.rank(c.Rank).pieces += c.Pieces
+	if d.accounts == nil {
+		d.accounts = make(map[string]*accountDemand)
+	}
+	a := d.accounts[c.Account]
+	if a == nil {
+		a = &accountDemand{}
+		d.accounts[c.Account] = a
+	}
+	if a.add(c); len(a.ranks) == 0 {
+		delete(d.accounts, c.Account)
 	}
 }
 
@@ -83,23 +110,38 @@
 func (d *demand) rank(rank site.Rank) *rankDemand {
 	i, ok := slices.BinarySearchFunc(d.ranks, rank, func(r *rankDemand, rank site.Rank) int { return cmp.Compare(r.rank, rank) })
 	if !ok {
-		d.ranks = slices.Insert(d.ranks, i, &rankDemand{rank: rank, accounts: make(map[string]int)})
+		d.ranks = slices.Insert(d.ranks, i, &rankDemand{rank: rank})
 	}
 	return d.ranks[i]
 }
 
 // forget removes the ranks without demand.
 func (d *demand) forget(now time.Time) {
-	d.ranks = slices.DeleteFunc(d.ranks, func(r *rankDemand) bool { return len(r.accounts) == 0 && r.weighted(now) < minDemand })
+	d.ranks = slices.DeleteFunc(d.ranks, func(r *rankDemand) bool { return r.pieces == 0 && r.weighted(now) < minDemand })
 }
 
 // own returns the committed pieces of an account.
 func (d *demand) own(account string) int {
-	sum := 0
-	for _, r := range d.ranks {
-		sum += r.accounts[account]
+	if a := d.accounts[account]; a != nil {
+		return a.pieces
 	}
-	return sum
+	return 0
+}
+
+// of returns the committed pieces of some accounts by rank, nil if there are none.
+func (d *demand) of(accounts map[string]fairshare.Standing) map[site.Rank]int {
+	if len(accounts) == 0 || d.pieces == 0 {
+		return nil
+	}
+	out := make(map[site.Rank]int, len(d.ranks))
+	for account := range accounts {
+		if a := d.accounts[account]; a != nil {
+			for _, c := range a.ranks {
+				out[c.Rank] += c.Pieces
+			}
+		}
+	}
+	return out
 }
 
 // weighted returns the pieces that have arrived, weighted by their age.
@@ -115,15 +157,6 @@
 	return r.weighted(now) / demandWindow.Seconds()
 }
 
-// below returns the committed pieces of the accounts that are not over their share.
-func (r *rankDemand) below(over map[string]fairshare.Standing) int {
-	sum := r.pieces
-	for account := range over {
-		sum -= r.accounts[account]
-	}
-	return sum
-}
-
 // delays accumulates the delays of a Backlog over the ranks, the most urgent first.
 type delays struct {
 	queue     *Queue
@@ -152,12 +185,13 @@
 	q.updateShares(now, upstreams)
 	q.lanes.advance(now)
 	q.demand.forget(now)
-	scarce, over := q.fair.meter.Scarce(), q.over()
+	scarce, over := q.fair.meter.Scarce(), q.over(now)
+	ofOver := q.demand.of(over)
 	out := Backlog{Total: q.wait(q.waiting+q.demand.pieces, upstreams)}
 	d := delays{queue: q, now: now, upstreams: upstreams}
 	q.byRank(func(r *rankLanes, want *rankDemand) {
 		if scarce {
-			below := d.urgent + r.groups[fairshare.Below][onTime].pieces + r.groups[fairshare.Below][late].pieces + want.below(over)
+			below := d.urgent + r.groups[fairshare.Below][onTime].pieces + r.groups[fairshare.Below][late].pieces + want.pieces - ofOver[r.rank]
 			out.Below = append(out.Below, RankWait{Rank: r.rank, Wait: d.delay(below)})
 		}
 		d.urgent += r.urgent(scarce) + want.pieces
--- a/internal/serve/batching/lanes.go
+++ b/internal/serve/batching/lanes.go
@@ -22,6 +22,8 @@
 	// ranks is in ascending order.
 	ranks []*rankLanes
 	lanes map[laneKey]*lane
+	// accounts holds the lanes of each account.
+	accounts map[string][]*lane
 	// callTime is the time of a call by which jobs count as late.
 	callTime time.Duration
 	seq      uint64
@@ -74,7 +76,7 @@
 }
 
 func newLanes(callTime time.Duration, meter *fairshare.Meter) lanes {
-	return lanes{callTime: callTime, meter: meter, lanes: make(map[laneKey]*lane)}
+	return lanes{callTime: callTime, meter: meter, lanes: make(map[laneKey]*lane), accounts: make(map[string][]*lane)}
 }
 
 // lane returns the lane of an account at a rank.
@@ -90,6 +92,7 @@
 	s.ranks[i].lanes++
 	l := &lane{laneKey: key, rank: s.ranks[i], standing: s.meter.Standing(account)}
 	s.lanes[key] = l
+	s.accounts[account] = append(s.accounts[account], l)
 	return l
 }
 
@@ -167,6 +170,9 @@
 		return
 	}
 	delete(s.lanes, l.laneKey)
+	if s.accounts[l.account] = slices.DeleteFunc(s.accounts[l.account], func(other *lane) bool { return other == l }); len(s.accounts[l.account]) == 0 {
+		delete(s.accounts, l.account)
+	}
 	if l.rank.lanes--; l.rank.lanes == 0 {
 		i, _ := s.search(l.rank.rank)
 		s.ranks = slices.Delete(s.ranks, i, i+1)
@@ -243,11 +249,9 @@
 // own returns the number of waiting pieces of an account, by kind.
 func (s *lanes) own(account string) [kinds]int {
 	var out [kinds]int
-	for _, r := range s.ranks {
-		if l := s.lanes[laneKey{rank: r.rank, account: account}]; l != nil {
-			out[onTime] += l.trees[onTime].pieces()
-			out[late] += l.trees[late].pieces()
-		}
+	for _, l := range s.accounts[account] {
+		out[onTime] += l.trees[onTime].pieces()
+		out[late] += l.trees[late].pieces()
 	}
 	return out
 }
--- a/internal/serve/batching/sharing.go
+++ b/internal/serve/batching/sharing.go
@@ -15,6 +15,9 @@
 	// maxReported is the number of accounts over their share that a Backlog names. The
 	// others count as below their share at admission, and only there.
 	maxReported = 64
+	// overTTL is how long the choice of the accounts that a Backlog names is kept where owners
+	// are asked for one with each message with commitments. With 400 accounts it takes 20 us.
+	overTTL = 50 * time.Millisecond
 )
 
 // sharing holds what a queue needs to share scarce capacity between accounts.
@@ -25,6 +28,14 @@
 	byAge tree
 	// credit is the number of pieces that aged jobs may take now.
 	credit float64
+	over   overAccounts
+}
+
+// overAccounts are the accounts over their share that a Backlog names.
+type overAccounts struct {
+	version  uint64
+	at       time.Time
+	accounts map[string]fairshare.Standing
 }
 
 func newSharing(on bool) sharing { return sharing{on: on, meter: fairshare.NewMeter()} }
@@ -54,11 +65,16 @@
 }
 
 // over returns the accounts that ask for more than their share, none if nothing is scarce.
-func (q *Queue) over() map[string]fairshare.Standing {
+// The caller must not modify the map.
+func (q *Queue) over(now time.Time) map[string]fairshare.Standing {
 	if !q.fair.on || !q.fair.meter.Scarce() {
 		return nil
 	}
-	return q.fair.meter.Over(maxReported)
+	o := &q.fair.over
+	if age := now.Sub(o.at); !q.demand.used || o.version != q.fair.meter.Version() || age < 0 || age > overTTL {
+		*o = overAccounts{version: q.fair.meter.Version(), at: now, accounts: q.fair.meter.Over(maxReported)}
+	}
+	return o.accounts
 }
 
 // overWaits returns the delays of the accounts that ask for more than their share. total is
