--- a/internal/serve/pace/chain.go
+++ b/internal/serve/pace/chain.go
@@ -46,9 +46,32 @@
 	Stages []Span
 	// End is when the response is expected.
 	End time.Duration
-	// Excess is by how much the first result that expires would be fetched too late, 0 if
-	// none expires.
+	// Excess is by how much results would be fetched too late, 0 if none expire.
 	Excess time.Duration
+	// startAt is when the stage whose results expire would have to start.
+	startAt time.Duration
+}
+
+// fetch records that a call that starts at a time fetches results with an expiry.
+func (f *Forecast) fetch(start time.Duration, e expiry) {
+	if excess := start - e.at; e.known && excess > 0 {
+		f.Excess = max(f.Excess, excess)
+		f.startAt = max(f.startAt, e.start+excess)
+	}
+}
+
+// expiry is when the first of some results must be fetched, if that is known, and when the
+// stage that makes it starts.
+type expiry struct {
+	known     bool
+	at, start time.Duration
+}
+
+func (e expiry) first(other expiry) expiry {
+	if !e.known || other.known && other.at < e.at {
+		return other
+	}
+	return e
 }
 
 // queues selects the backlogs that a forecast counts.
@@ -63,44 +86,35 @@
 	queuesLate
 )
 
-// never is later than any expiry.
-const never = time.Duration(1<<63 - 1)
-
 // forecast predicts the course of the chain that starts after a delay: a stage starts when
 // its inputs exist and the backlog of its service has been worked off, whichever is later.
 func (c Chain) forecast(which queues, delay time.Duration) Forecast {
 	f := Forecast{Stages: make([]Span, len(c.Stages)), End: delay}
-	expiries := make([]time.Duration, len(c.Stages))
-	first := never
+	expiries := make([]expiry, len(c.Stages))
+	var final expiry
 	for i, s := range c.Stages {
-		start, expiry := delay, never
+		start := delay
+		var inputs expiry
 		for _, dep := range s.DependsOn {
-			start, expiry = max(start, f.Stages[dep].End), min(expiry, expiries[dep])
+			start, inputs = max(start, f.Stages[dep].End), inputs.first(expiries[dep])
 		}
+		expiries[i] = inputs
 		if s.CallTime > 0 {
 			start = max(start, s.backlog(which))
-			f.Excess = max(f.Excess, c.excess(start, expiry))
-			expiry = s.expiry(start + s.CallTime)
+			f.fetch(start+c.Fetch, inputs)
+			expiries[i] = s.expiry(start)
 		}
-		f.Stages[i], expiries[i] = Span{Start: start, End: start + s.CallTime}, expiry
+		f.Stages[i] = Span{Start: start, End: start + s.CallTime}
 		f.End = max(f.End, f.Stages[i].End)
 		if !c.hasDependent(i) {
-			first = min(first, expiry)
+			final = final.first(expiries[i])
 		}
 	}
-	f.Excess = max(f.Excess, c.excess(f.End, first))
+	f.fetch(f.End+c.Fetch, final)
 	f.End += c.Engine
 	return f
 }
 
-// excess returns by how much a result is fetched too late by a call that starts at a time.
-func (c Chain) excess(start, expiry time.Duration) time.Duration {
-	if expiry == never {
-		return 0
-	}
-	return max(0, start+c.Fetch-expiry)
-}
-
 func (c Chain) hasDependent(stage int) bool {
 	for _, s := range c.Stages[stage+1:] {
 		for _, dep := range s.DependsOn {
@@ -123,12 +137,9 @@
 	}
 }
 
-// expiry returns until when results that are made at a time must be fetched.
-func (s Stage) expiry(made time.Duration) time.Duration {
-	if s.ResultTTL <= 0 {
-		return never
-	}
-	return made + time.Duration(lifetimeShare*float64(s.ResultTTL))
+// expiry returns when the results of the stage must be fetched if it starts at a time.
+func (s Stage) expiry(start time.Duration) expiry {
+	return expiry{known: s.ResultTTL > 0, at: start + s.CallTime + time.Duration(lifetimeShare*float64(s.ResultTTL)), start: start}
 }
 
 // Outcome is a Decision with the forecasts that it rests on.
@@ -151,7 +162,7 @@
 	case out.Late.End > c.UntilDeadline:
 		out.Decision = Refuse{RetryAfter: behind}
 	default:
-		out.Decision = c.hold(out.OnTime.Excess)
+		out.Decision = c.hold(out.OnTime)
 	}
 	return out
 }
@@ -164,19 +175,16 @@
 
 // hold holds the chain, or refuses it if it cannot be in time any more once no result
 // expires.
-func (c Chain) hold(excess time.Duration) Decision {
-	delay := time.Duration(0)
+func (c Chain) hold(f Forecast) Decision {
 	// Each round gives the results of one more stage the time that they need.
 	for range c.Stages {
-		if excess == 0 {
+		if f.Excess == 0 {
 			break
 		}
-		delay += excess
-		f := c.forecast(queuesOnTime, delay)
-		if f.End > c.UntilDeadline {
+		delay := f.startAt
+		if f = c.forecast(queuesOnTime, delay); f.End > c.UntilDeadline {
 			return Refuse{RetryAfter: delay}
 		}
-		excess = f.Excess
 	}
 	return Hold{For: recheckInterval}
 }
