--- a/cmd/hawthornhub/chains.go
+++ b/cmd/hawthornhub/chains.go
@@ -5,17 +5,18 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"hawthornhub.example/hawthornhub/internal/api/gateway"
 	"hawthornhub.example/hawthornhub/internal/dispatch/batcher"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
 // stageQueues returns how the gateway looks up the queues of stages and how it reserves
 // capacity there, nil if it reserves none.
-func (g *gatewayProcess) stageQueues() (wait func(service, zone, account string, rank site.Rank) (onTime, total time.Duration), commit func(batcher.Job) *batcher.Commitment) {
+func (g *gatewayProcess) stageQueues() (wait func(service, zone, account string, rank site.Rank) (onTime, total time.Duration), commit func(batcher.Job) gateway.Commitment) {
 	if !g.settings.Chains.Reserve {
 		return g.batchRouter.QueueWait, nil
 	}
-	return g.batchRouter.CommittedWait, g.batchRouter.Commit
+	return g.batchRouter.CommittedWait, func(job batcher.Job) gateway.Commitment { return g.batchRouter.Commit(job) }
 }
 
 // updateCommitments updates the gauges of what admitted requests will still send to the
--- a/internal/api/gateway/chain.go
+++ b/internal/api/gateway/chain.go
@@ -9,6 +9,15 @@
 	"hawthornhub.example/hawthornhub/internal/serve/pace"
 )
 
+// Commitment is the pieces of one stage that an admitted request will still send. One of
+// its methods is called once.
+type Commitment interface {
+	// Sent ends it because the job of the stage is sent.
+	Sent()
+	// Withdraw ends it because the job will not be sent.
+	Withdraw()
+}
+
 // reserves reports whether admitted requests reserve capacity of their later stages.
 func (s *Server) reserves() bool { return s.cfg.Commit != nil }
 
@@ -83,7 +92,7 @@
 		return
 	}
 	if q.commitments == nil {
-		q.commitments = make([]*batcher.Commitment, len(q.route.Stages))
+		q.commitments = make([]Commitment, len(q.route.Stages))
 	}
 	for i, stage := range q.route.Stages {
 		started := len(q.stages) > 0 && q.stages[i].started
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -10,7 +10,6 @@
 
 	"go.uber.org/zap"
 
-	"hawthornhub.example/hawthornhub/internal/dispatch/batcher"
 	"hawthornhub.example/hawthornhub/internal/dispatch/transport"
 	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
 	"hawthornhub.example/hawthornhub/internal/serve/balance"
@@ -48,7 +47,7 @@
 	stages []stageState
 	// commitments are what the owners know of the stages whose jobs are not sent, empty if
 	// nothing is reserved.
-	commitments []*batcher.Commitment
+	commitments []Commitment
 	// reruns is how often stages were run again because results had expired.
 	reruns int
 	// stagesTook is the time from start until all stages were complete.
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -70,7 +70,7 @@
 	QueueWait func(service, zone, account string, rank site.Rank) (onTime, total time.Duration)
 	// Commit tells the owner of a job's service that an admitted request will send the job;
 	// nil reserves no capacity. QueueWait counts what is committed.
-	Commit func(job batcher.Job) *batcher.Commitment
+	Commit func(job batcher.Job) Commitment
 	// Fair reports whether scarce capacity is shared between accounts; nil means that it
 	// is not.
 	Fair func() bool
