--- a/internal/operator/settings/site_test.go
+++ b/internal/operator/settings/site_test.go
@@ -107,3 +107,18 @@
 		}
 	}
 }
+
+// Guards against gateways that reserve capacity without being told to, and against a value
+// that is neither true nor false being taken for one of them.
+func TestChainsAreReservedOnlyIfEnabled(t *testing.T) {
+	for text, want := range map[string]bool{"": false, "[chains]\n": false, "[chains]\nreserve = false\n": false, "[chains]\nreserve = true\n": true} {
+		if s, _ := DecodeSite([]byte(text), RoleGateway); s.Chains.Reserve != want {
+			t.Errorf("%q: got %t, want %t", text, s.Chains.Reserve, want)
+		}
+	}
+	for _, text := range []string{"[chains]\nreserve = 1\n", "[chains]\nreserved = true\n"} {
+		if _, violations := DecodeSite([]byte(text), RoleGateway); len(violations) != 1 || !strings.Contains(violations[0], "line 2") {
+			t.Errorf("%q: got %v, want one violation that names line 2", text, violations)
+		}
+	}
+}
