--- a/internal/api/gateway/chain.go
+++ b/internal/api/gateway/chain.go
@@ -85,6 +85,16 @@
 	return c
 }
 
+// expectedTimeAfter is the expected time of a stage that is not started. Where capacity is
+// reserved, the queue does not count: the reported backlog holds the pieces of the stage
+// itself and of requests behind this one, and the admission has counted it.
+func (q *request) expectedTimeAfter(stage int) time.Duration {
+	if q.server.reserves() {
+		return q.expectedCallTime(stage)
+	}
+	return q.expectedTime(stage)
+}
+
 // commitStages tells the owners of the services what the stages that are not started will
 // send.
 func (q *request) commitStages() {
--- a/internal/api/gateway/stages.go
+++ b/internal/api/gateway/stages.go
@@ -268,16 +268,6 @@
 	return max(left, q.expectedTime(stage)+q.timeAfter(stage))
 }
 
-// expectedTimeAfter is the expected time of a stage that is not started. Where capacity is
-// reserved, the queue does not count: the reported backlog holds the pieces of the stage
-// itself and of requests behind this one, and the admission has counted it.
-func (q *request) expectedTimeAfter(stage int) time.Duration {
-	if q.server.reserves() {
-		return q.expectedCallTime(stage)
-	}
-	return q.expectedTime(stage)
-}
-
 // expectedTime is the expected time of a stage, including its queue wait.
 func (q *request) expectedTime(stage int) time.Duration {
 	callTime := q.expectedCallTime(stage)
