docs, batcher, pace: design of reserved chains, rows of proof and operation

Planted faults showed two gaps in the tests, now closed: commitments that are not told again on another stream of the same owner, and a stream that begins with commitments.

--- a/internal/api/gateway/chain.go
+++ b/internal/api/gateway/chain.go
@@ -56,8 +56,8 @@
 		q.server.cfg.Metrics.Counter("held_for_results").Inc(1)
 	}
 	return out.Decision, []zap.Field{
-		zap.Durations("ends", ends), zap.Duration("end", out.OnTime.End), zap.Duration("end_last", out.Late.End),
-		zap.Duration("excess", out.OnTime.Excess), zap.Int("rank", int(q.rank)),
+		zap.Duration("work", out.Work), zap.Duration("wait", out.OnTime.End-out.Work), zap.Duration("wait_last", out.Late.End-out.Work),
+		zap.Durations("ends", ends), zap.Duration("excess", out.OnTime.Excess), zap.Int("rank", int(q.rank)),
 	}
 }
 
--- a/internal/dispatch/batcher/commitments_test.go
+++ b/internal/dispatch/batcher/commitments_test.go
@@ -105,6 +105,32 @@
 	expectCommitted(t, "at the lost owner", first.owner, 0)
 }
 
+// Guards against the loss of commitments with a cut link: the owner drops them with the
+// stream, and must get them again although nothing has changed.
+func TestCommitmentsAreToldAgainAfterCutLink(t *testing.T) {
+	p := newOwnerProcess(t, newFakeUpstream(t))
+	address := p.server.Address()
+	r := newRouter(t, newOwner(t, 1<<40, newFakeUpstream(t)), "self", func() []string { return []string{address} })
+	r.Commit(rankedJob(1, 7))
+	expectCommitted(t, "before the cut", p.owner, 7)
+	o := r.remote(address)
+	o.mu.Lock()
+	o.stream.Close()
+	o.mu.Unlock()
+	eventually(t, "the end of the stream", func() bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return o.stream == nil
+	})
+	eventually(t, "another stream", func() bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return o.stream != nil
+	})
+	time.Sleep(2 * commitInterval)
+	expectCommitted(t, "after the cut", p.owner, 7)
+}
+
 // Guards against numbers that stay at an owner that is none any more but lives: it would
 // hold back requests when it is the owner again.
 func TestFormerOwnerForgetsCommitments(t *testing.T) {
@@ -203,6 +229,8 @@
 	own := newFakeUpstream(t)
 	r := newRouter(t, newOwner(t, 1<<40, own), "self", func() []string { return []string{address} })
 	c := r.Commit(rankedJob(1, 7))
+	eventually(t, "the stream that begins with commitments", func() bool { return streams.Load() > 0 })
+	time.Sleep(2 * commitInterval)
 	for i := range 3 {
 		checkCompleted(t, r.Do(context.Background(), newJob(fmt.Sprint("r", i), 2)), fmt.Sprint("r", i), 2)
 		r.CommittedWait("scan", "", "", 1)
@@ -315,29 +343,47 @@
 	}
 }
 
-// Guards against results that nobody releases: they were on the way when the job was
-// abandoned.
+// Guards against results that nobody releases: the job was abandoned while they were on the
+// way, and they would take memory until they expire.
 func TestResultOfAbandonedJobIsReleased(t *testing.T) {
-	u := newFakeUpstream(t)
-	o := &remoteOwner{pending: make(map[uint64]pendingJob)}
-	released := make(chan []string, 1)
-	o.release = func(_ shard, handles []string) { released <- handles }
-	lost := make(chan struct{})
-	o.stream, o.lost = &link.Stream{}, lost
-	o.pending[1] = pendingJob{done: make(chan Result, 1)}
-	if !o.abandon(1, lost) {
-		t.Fatal("the job counts as delivered, want abandoned")
+	called, released := make(chan struct{}), make(chan []string, 1)
+	server, err := link.Listen(link.ServerConfig{
+		Address: "127.0.0.1:0",
+		Auth:    link.Auth{Key: []byte("a key for the tests")},
+		Handle: func(_ context.Context, st *link.Stream, first *fleetpb.Envelope) {
+			close(called)
+			for e, err := first, error(nil); err == nil; e, err = st.Recv() {
+				if c := e.GetPieceCancel(); c != nil {
+					result := pieceResult(c.Id, Completed{Handles: []string{"127.0.0.1:1/x"}})
+					if err := st.Send(&fleetpb.Envelope{Body: &fleetpb.Envelope_PieceResult{PieceResult: result}}); err != nil {
+						t.Error(err)
+					}
+				}
+				if r := e.GetPieceRelease(); r != nil {
+					released <- r.Handles
+				}
+			}
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { server.Close() })
+	r := newRouter(t, newOwner(t, 1<<40, newFakeUpstream(t)), "self", func() []string { return []string{server.Address()} })
+	ctx, leave := context.WithCancel(context.Background())
+	done := make(chan Result, 1)
+	go func() { done <- r.Do(ctx, newJob("r", 1)) }()
+	<-called
+	leave()
+	if got, ok := (<-done).(Failed); !ok {
+		t.Errorf("got %+v, want Failed", got)
 	}
-	o.deliver(pieceResult(1, Completed{Handles: []string{u.address() + "/x"}}))
 	select {
 	case got := <-released:
-		if len(got) != 1 {
-			t.Errorf("released %v, want one result", got)
+		if want := []string{"127.0.0.1:1/x"}; !slices.Equal(got, want) {
+			t.Errorf("released %v, want %v", got, want)
 		}
-	default:
+	case <-time.After(waitLimit / 4):
 		t.Error("the result was not released")
 	}
-	if got := len(o.pending); got != 0 {
-		t.Errorf("%d jobs are pending, want 0", got)
-	}
 }
--- a/internal/dispatch/batcher/doc.go
+++ b/internal/dispatch/batcher/doc.go
@@ -23,4 +23,10 @@
 //		defer router.Release(service, r.Handles)
 //	case batcher.Refused, batcher.Failed:
 //	}
+//
+// A request that will send jobs later tells their owners with Commit, and ends that with
+// Sent or Withdraw:
+//
+//	c := router.Commit(job)
+//	c.Sent() // as job is sent
 package batcher
--- a/internal/serve/pace/chain.go
+++ b/internal/serve/pace/chain.go
@@ -145,6 +145,8 @@
 // Outcome is a Decision with the forecasts that it rests on.
 type Outcome struct {
 	Decision Decision
+	// Work is the time until the response without queues.
+	Work time.Duration
 	// OnTime is the course of the chain if it goes before late requests, Late if it does not.
 	OnTime, Late Forecast
 }
@@ -153,7 +155,7 @@
 // chain whose results would expire before they are fetched does not start.
 func DecideChain(c Chain) Outcome {
 	work := c.forecast(noQueues, 0).End
-	out := Outcome{OnTime: c.forecast(queuesOnTime, 0), Late: c.forecast(queuesLate, 0)}
+	out := Outcome{Work: work, OnTime: c.forecast(queuesOnTime, 0), Late: c.forecast(queuesLate, 0)}
 	behind := out.Late.End - work
 	soon := behind <= shortWait && out.Late.End <= c.UntilDeadline
 	switch {
--- a/internal/serve/pace/doc.go
+++ b/internal/serve/pace/doc.go
@@ -10,6 +10,11 @@
 // longer queues. A request that would end only after its deadline is refused at
 // once, with the time after which to retry.
 //
+// Decide adds up the waits in all queues. DecideChain predicts the end of each stage instead:
+// a later queue is worked off while the earlier stages run, and results expire while they
+// wait for the next stage. It needs backlogs that include what admitted requests will still
+// send, see batching.Queue.
+//
 // # Usage
 //
 //	switch d := pace.Decide(pace.Request{...}).(type) {
@@ -17,4 +22,7 @@
 //	case pace.Hold: // decide again after d.For
 //	case pace.Refuse: // the caller may retry after d.RetryAfter
 //	}
+//
+//	out := pace.DecideChain(pace.Chain{Stages: []pace.Stage{...}, ...})
+//	// out.Decision as above; out.OnTime.Stages are the predicted spans
 package pace
