--- a/internal/serve/batching/doc.go
+++ b/internal/serve/batching/doc.go
@@ -17,6 +17,10 @@
 // Jobs that have waited for half of their time may take a small part of each batch
 // before all others, so that none starves.
 //
+// A queue can be told what admitted requests will still send to it once their earlier stages
+// have ended. Backlog counts these commitments, and allows for more urgent work that will
+// arrive; what happens to jobs does not depend on them.
+//
 // The package reads no clock and does no I/O; package batcher drives it.
 //
 // # Usage
@@ -24,6 +28,7 @@
 //	q := batching.NewQueue(batching.Config{MaxBatch: 18, CallOverhead: overhead, PieceTime: pieceTime})
 //	q.Ask(now, account, pieces) // also for what is refused elsewhere
 //	if wait, ok := q.Admit(now, job, upstreams); !ok { ... } // retry after wait
+//	q.Commit(batching.Commitment{Rank: rank, Account: account, Pieces: pieces}) // -pieces at the end
 //	q.Push(job)
 //	batch := q.NextBatch(now, upstream)
 //	done := q.Complete(batch[0], handle)
