--- a/internal/api/gateway/chain.go
+++ b/internal/api/gateway/chain.go
@@ -56,8 +56,8 @@
 		q.server.cfg.Metrics.Counter("held_for_results").Inc(1)
 	}
 	return out.Decision, []zap.Field{
-		zap.Durations("ends", ends), zap.Duration("end", out.OnTime.End), zap.Duration("end_last", out.Late.End),
-		zap.Duration("excess", out.OnTime.Excess), zap.Int("rank", int(q.rank)),
+		zap.Duration("work", out.Work), zap.Duration("wait", out.OnTime.End-out.Work), zap.Duration("wait_last", out.Late.End-out.Work),
+		zap.Durations("ends", ends), zap.Duration("excess", out.OnTime.Excess), zap.Int("rank", int(q.rank)),
 	}
 }
 
@@ -85,6 +85,16 @@
 	return c
 }
 
+// expectedTimeAfter is the expected time of a stage that is not started. Where capacity is
+// reserved, the queue does not count: the reported backlog holds the pieces of the stage
+// itself and of requests behind this one, and the admission has counted it.
+func (q *request) expectedTimeAfter(stage int) time.Duration {
+	if q.server.reserves() {
+		return q.expectedCallTime(stage)
+	}
+	return q.expectedTime(stage)
+}
+
 // commitStages tells the owners of the services what the stages that are not started will
 // send.
 func (q *request) commitStages() {
