--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -45,6 +45,9 @@
 	// zone caches the result of stageZone.
 	zone   string
 	stages []stageState
+	// commitments are what the owners know of the stages whose jobs are not sent, empty if
+	// nothing is reserved.
+	commitments []Commitment
 	// reruns is how often stages were run again because results had expired.
 	reruns int
 	// stagesTook is the time from start until all stages were complete.
--- a/internal/api/gateway/stages.go
+++ b/internal/api/gateway/stages.go
@@ -71,6 +71,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer q.withdrawStages()
 	r := &stageRun{request: q, ctx: ctx, events: make(chan stageEvent, 2*n*(maxReruns+1))}
 	for {
 		r.startReady()
@@ -110,6 +111,7 @@
 			r.events <- stageEvent{stage: i, result: batcher.Completed{}}
 			continue
 		}
+		r.sentStage(i)
 		go func() {
 			start := time.Now()
 			result := r.runStage(job)
@@ -248,7 +250,7 @@
 	longest := time.Duration(0)
 	for i := stage + 1; i < len(q.route.Stages); i++ {
 		if slices.Contains(q.route.Stages[i].DependsOn, stage) {
-			longest = max(longest, q.expectedTime(i)+q.stagesAfter(i))
+			longest = max(longest, q.expectedTimeAfter(i)+q.stagesAfter(i))
 		}
 	}
 	return longest
@@ -341,6 +343,7 @@
 			}
 		}
 	}
+	q.commitStages()
 	return true
 }
 
--- a/internal/serve/batching/queue.go
+++ b/internal/serve/batching/queue.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"hawthornhub.example/hawthornhub/internal/serve/fairshare"
 	"hawthornhub.example/hawthornhub/internal/state/site"
 )
 
@@ -45,6 +44,8 @@
 	lanes   lanes
 	waiting int
 	fair    sharing
+	// demand is what Backlog counts besides the jobs.
+	demand demand
 }
 
 // NewQueue returns an empty Queue.
@@ -101,30 +102,12 @@
 	return time.Duration(float64(n) / q.rate(upstreams) * float64(time.Second))
 }
 
-// Backlog returns the expected queueing delay: at each rank that of the jobs on
-// time, and in total that of all jobs. upstreams is the capacity, in upstreams of
-// normal speed.
-func (q *Queue) Backlog(now time.Time, upstreams float64) Backlog {
+// PieceWait returns what each further piece adds to a delay, 0 if there is no capacity.
+func (q *Queue) PieceWait(upstreams float64) time.Duration {
 	if upstreams == 0 {
-		return Backlog{Total: q.Duration(q.cfg.MaxBatch)}
-	}
-	q.updateShares(now, upstreams)
-	q.lanes.advance(now)
-	scarce := q.fair.meter.Scarce()
-	out := Backlog{Total: q.wait(q.waiting, upstreams)}
-	urgent := 0
-	for _, r := range q.lanes.ranks {
-		if scarce {
-			below := urgent + r.groups[fairshare.Below][onTime].pieces + r.groups[fairshare.Below][late].pieces
-			out.Below = append(out.Below, RankWait{Rank: r.rank, Wait: q.wait(below, upstreams)})
-		}
-		urgent += r.urgent(scarce)
-		if r.jobs[onTime].pieces() > 0 {
-			out.Ranks = append(out.Ranks, RankWait{Rank: r.rank, Wait: q.wait(urgent, upstreams)})
-		}
+		return 0
 	}
-	out.Over = q.overWaits(out.Total, upstreams)
-	return out
+	return q.wait(1, upstreams)
 }
 
 // Admit reports whether a job can be completed before its deadline, given the
@@ -147,6 +130,7 @@
 func (q *Queue) Push(j *Job) {
 	q.insert(j.Arrived, j)
 	q.waiting += len(j.pending)
+	q.demand.arrive(j.Arrived, j.Rank, len(j.pending))
 }
 
 func (q *Queue) insert(now time.Time, j *Job) {
--- a/internal/serve/batching/sharing.go
+++ b/internal/serve/batching/sharing.go
@@ -15,6 +15,9 @@
 	// maxReported is the number of accounts over their share that a Backlog names. The
 	// others count as below their share at admission, and only there.
 	maxReported = 64
+	// overTTL is how long the choice of the accounts that a Backlog names is kept where owners
+	// are asked for one with each message with commitments. With 400 accounts it takes 20 us.
+	overTTL = 50 * time.Millisecond
 )
 
 // sharing holds what a queue needs to share scarce capacity between accounts.
@@ -25,6 +28,14 @@
 	byAge tree
 	// credit is the number of pieces that aged jobs may take now.
 	credit float64
+	over   overAccounts
+}
+
+// overAccounts are the accounts over their share that a Backlog names.
+type overAccounts struct {
+	version  uint64
+	at       time.Time
+	accounts map[string]fairshare.Standing
 }
 
 func newSharing(on bool) sharing { return sharing{on: on, meter: fairshare.NewMeter()} }
@@ -53,17 +64,29 @@
 	}
 }
 
+// over returns the accounts that ask for more than their share, none if nothing is scarce.
+// The caller must not modify the map.
+func (q *Queue) over(now time.Time) map[string]fairshare.Standing {
+	if !q.fair.on || !q.fair.meter.Scarce() {
+		return nil
+	}
+	o := &q.fair.over
+	if age := now.Sub(o.at); !q.demand.used || o.version != q.fair.meter.Version() || age < 0 || age > overTTL {
+		*o = overAccounts{version: q.fair.meter.Version(), at: now, accounts: q.fair.meter.Over(maxReported)}
+	}
+	return o.accounts
+}
+
 // overWaits returns the delays of the accounts that ask for more than their share. total is
 // the delay behind all jobs.
-func (q *Queue) overWaits(total time.Duration, upstreams float64) map[string]AccountWait {
-	if !q.fair.on || !q.fair.meter.Scarce() {
+func (q *Queue) overWaits(over map[string]fairshare.Standing, total time.Duration, upstreams float64) map[string]AccountWait {
+	if over == nil {
 		return nil
 	}
-	over := q.fair.meter.Over(maxReported)
 	out := make(map[string]AccountWait, len(over))
-	waiting, piece := q.wait(q.lanes.onTimePieces(), upstreams), q.wait(1, upstreams)
+	waiting, piece := q.wait(q.lanes.onTimePieces()+q.demand.pieces, upstreams), q.wait(1, upstreams)
 	for account, standing := range over {
-		own, pieceWork := time.Duration(q.lanes.own(account)[onTime])*q.pieceWork(), q.pieceWork()
+		own, pieceWork := time.Duration(q.lanes.own(account)[onTime]+q.demand.own(account))*q.pieceWork(), q.pieceWork()
 		if q.mayFill(standing, waiting) {
 			own, pieceWork = 0, 0
 		}
