proto, starts, fsm, replica: the log records which starts of upstreams have ended

A command EndStart records the end of a start, and that of starts which a later one with an earlier born has replaced. Nothing proposes the command yet.

--- a/internal/fleet/replica/actor.go
+++ b/internal/fleet/replica/actor.go
@@ -74,7 +74,10 @@
 	// notifiedEvacuations is the log index of the evacuated zones last passed to
 	// Config.OnEvacuations.
 	notifiedEvacuations uint64
-	lastRole            raft.Role
+	// notifiedEnds is the log index of the ended starts last passed to
+	// Config.OnEndedStarts.
+	notifiedEnds uint64
+	lastRole     raft.Role
 	// peerNames maps the disk identities of senders to instance names. A replica
 	// with an empty log has no other source for them.
 	peerNames map[uint64]string
@@ -326,6 +329,7 @@
 		}
 		a.notifySiteDocument()
 		a.notifyEvacuations()
+		a.notifyEndedStarts()
 		if e.Command == nil {
 			continue
 		}
@@ -363,6 +367,19 @@
 	a.cfg.OnEvacuations(e)
 }
 
+// notifyEndedStarts calls Config.OnEndedStarts if a start has ended since the last call.
+func (a *stateActor) notifyEndedStarts() {
+	if a.machine == nil || a.cfg.OnEndedStarts == nil {
+		return
+	}
+	e := a.machine.EndedStarts()
+	if e.Index <= a.notifiedEnds {
+		return
+	}
+	a.notifiedEnds = e.Index
+	a.cfg.OnEndedStarts(e)
+}
+
 // recordDocument adds the commit of a document to the timeline.
 func (a *stateActor) recordDocument(index uint64) {
 	a.cfg.Timeline.Add("commit", "", fmt.Sprintf("document %d", index))
@@ -381,6 +398,7 @@
 	a.recordDocument(m.DocumentIndex())
 	a.notifySiteDocument()
 	a.notifyEvacuations()
+	a.notifyEndedStarts()
 }
 
 // completeRead runs a pending read, or fails it with err.
@@ -452,6 +470,7 @@
 	a.effects = nil
 	a.cfg.Timeline.Add("form", "", fmt.Sprintf("%d voters", len(names)))
 	a.notifyEvacuations()
+	a.notifyEndedStarts()
 	a.publish()
 }
 
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -67,6 +67,9 @@
 	// OnEvacuations is called with the evacuated availability zones after the start
 	// and after each change, in order. It may be nil and must not block.
 	OnEvacuations func(*statepb.Evacuations)
+	// OnEndedStarts is called with the ended starts of upstreams after the start and
+	// after each further end, in order. It may be nil and must not block.
+	OnEndedStarts func(*statepb.EndedStarts)
 	// Tick is the length of a Raft tick.
 	Tick time.Duration
 	// SnapshotEntries is the number of entries between snapshots.
@@ -165,6 +168,7 @@
 	a.publish()
 	a.notifySiteDocument()
 	a.notifyEvacuations()
+	a.notifyEndedStarts()
 	r.pid = cfg.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return a }))
 	a.self = r.pid
 	r.wg.Add(2)
--- a/internal/fleet/replica/serve.go
+++ b/internal/fleet/replica/serve.go
@@ -90,6 +90,9 @@
 	if read.Evacuations {
 		reply.Evacuations = m.Evacuations()
 	}
+	if read.EndedStarts {
+		reply.EndedStarts = m.EndedStarts()
+	}
 	if read.ClaimKey != "" {
 		reply.Claim = m.Claim(read.ClaimAccount, read.ClaimKey)
 	}
--- a/internal/state/fsm/machine.go
+++ b/internal/state/fsm/machine.go
@@ -13,6 +13,7 @@
 	"hawthornhub.example/hawthornhub/internal/state/fence"
 	"hawthornhub.example/hawthornhub/internal/state/ledger"
 	"hawthornhub.example/hawthornhub/internal/state/quota"
+	"hawthornhub.example/hawthornhub/internal/state/starts"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 )
 
@@ -44,6 +45,7 @@
 	// siteDocument is nil until the first one is committed.
 	siteDocument *statepb.Adopted
 	evacuations  *evacuation.State
+	endedStarts  *starts.State
 }
 
 // New returns a Machine at log index 1 with the given document text.
@@ -60,6 +62,7 @@
 		orders:      &fence.Issuer{},
 		counts:      make(map[countKey]callCount),
 		evacuations: evacuation.Restore(nil),
+		endedStarts: starts.Restore(nil),
 	}, nil
 }
 
@@ -83,6 +86,7 @@
 		counts:       make(map[countKey]callCount),
 		siteDocument: s.Adopted,
 		evacuations:  evacuation.Restore(s.Evacuations),
+		endedStarts:  starts.Restore(s.EndedStarts),
 	}
 	for _, c := range s.Counts {
 		m.counts[countKey{c.Service, c.Account, c.Day}] = callCount{calls: c.Calls, refused: c.Refused}
@@ -104,6 +108,7 @@
 		Orders:      m.orders.All(),
 		Adopted:     m.siteDocument,
 		Evacuations: m.evacuations.Proto(),
+		EndedStarts: m.endedStarts.Proto(),
 	}
 	return proto.MarshalOptions{Deterministic: true}.Marshal(s)
 }
@@ -140,6 +145,8 @@
 		return m.adopt(index, body.Adopt)
 	case *statepb.Command_Evacuate:
 		return m.evacuations.Apply(index, body.Evacuate)
+	case *statepb.Command_EndStart:
+		return m.endedStarts.Apply(index, body.EndStart)
 	case *statepb.Command_Sweep:
 		return m.sweep()
 	default:
--- a/internal/state/fsm/query.go
+++ b/internal/state/fsm/query.go
@@ -44,3 +44,6 @@
 
 // Evacuations returns the evacuated availability zones. The caller must not modify them.
 func (m *Machine) Evacuations() *statepb.Evacuations { return m.evacuations.Proto() }
+
+// EndedStarts returns the ended starts of upstreams. The caller must not modify them.
+func (m *Machine) EndedStarts() *statepb.EndedStarts { return m.endedStarts.Proto() }
