catalog: starts that were replaced by one that was born earlier

Starts of one upstream were ordered by born alone.

A table now holds which starts have ended, from the log, and which have been replaced. Replaced starts rank below all others, else born decides; announcements carry the replaced ones, so that each process orders starts alike.

--- a/internal/fleet/catalog/cold.go
+++ b/internal/fleet/catalog/cold.go
@@ -70,7 +70,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	current, known := t.byID[u.ID]
-	if u.State == Left || known && !isNewer(current, u) {
+	if u.State == Left || known && !t.isNewer(current, u) {
 		return t.merge(u.withoutCold())
 	}
 	end := u.ColdUntil
--- a/internal/fleet/catalog/table.go
+++ b/internal/fleet/catalog/table.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"hawthornhub.example/hawthornhub/internal/state/starts"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
 
@@ -58,11 +59,13 @@
 	digests Digests
 	// marks are the marks on zones, see MarkCold.
 	marks map[string]uint64
+	// histories holds what is known of the starts of each upstream.
+	histories map[string]*history
 }
 
 // New returns an empty Table.
 func New(cfg Config) *Table {
-	return &Table{cfg: cfg, byID: make(map[string]Upstream), byAddr: make(map[string]string), marks: make(map[string]uint64)}
+	return &Table{cfg: cfg, byID: make(map[string]Upstream), byAddr: make(map[string]string), marks: make(map[string]uint64), histories: make(map[string]*history)}
 }
 
 // Merge applies an announcement of another process unless a newer one is known. What it
@@ -77,6 +80,20 @@
 // merge is Merge for a caller that holds mu.
 func (t *Table) merge(u Upstream) Outcome {
 	current, known := t.byID[u.ID]
+	if u.State == Left && u.StartTimeMs == 0 {
+		// An announcement without a start time refers to the known start.
+		u.StartTimeMs = current.StartTimeMs
+	}
+	learnt := t.learnReplaced(u)
+	outcome := t.mergeStart(current, known, u)
+	if learnt && t.retire(u.ID) {
+		return Changed
+	}
+	return outcome
+}
+
+// mergeStart applies an announcement whose replaced starts are known. The caller holds mu.
+func (t *Table) mergeStart(current Upstream, known bool, u Upstream) Outcome {
 	if u.State == Left {
 		return t.markLeft(current, known, u)
 	}
@@ -85,8 +102,10 @@
 		// An upstream does not return from draining. Whoever has learnt that it drains need
 		// not know its newest announcement, of which only the state is out of date.
 		u = current.WithState(u.State)
-	case known && !isNewer(current, u):
+	case known && !t.isNewer(current, u):
 		return t.mergeCold(current, u)
+	case u.State == Ready && current.StartTimeMs != u.StartTimeMs && t.historyOf(u.ID).ended.Has(u.StartTimeMs):
+		return Stale
 	}
 	if !t.claimAddress(u) {
 		return Stale
@@ -126,10 +145,10 @@
 	t.put(u, u)
 }
 
-// isNewer reports whether u may replace current.
-func isNewer(current, u Upstream) bool {
+// isNewer reports whether u may replace current. The caller holds mu.
+func (t *Table) isNewer(current, u Upstream) bool {
 	if u.StartTimeMs != current.StartTimeMs {
-		return u.StartTimeMs > current.StartTimeMs
+		return t.outranks(u, current)
 	}
 	return u.Seq > current.Seq && current.State != Left
 }
@@ -142,6 +161,7 @@
 	a.Silent, b.Silent = false, false
 	a.ColdUntil, b.ColdUntil = time.Time{}, time.Time{}
 	a.zoneMark, b.zoneMark = 0, 0
+	a.ended, b.ended = starts.Ended{}, starts.Ended{}
 	return a == b
 }
 
@@ -194,7 +214,7 @@
 	held := protoByID(known)
 	var out []*fleetpb.UpstreamWord
 	for _, u := range t.InBuckets(bucketSet(buckets)) {
-		if w := held[u.ID]; w != nil && (w.BornMs > u.StartTimeMs || w.BornMs == u.StartTimeMs && State(w.State) >= u.State && !coldLacks(w, u)) {
+		if w := held[u.ID]; w != nil && !t.lacks(w, u) {
 			continue
 		}
 		if !u.Silent && u.State != Left {
@@ -205,18 +225,29 @@
 	return out
 }
 
-// markLeft marks an upstream as left. An announcement without a start time
-// refers to the known start.
+// lacks reports whether the announcement of an upstream that another process holds is of
+// an earlier start than u, or of the same one in an older state.
+func (t *Table) lacks(w *fleetpb.UpstreamWord, u Upstream) bool {
+	if w.BornMs == u.StartTimeMs {
+		return State(w.State) < u.State || coldLacks(w, u)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.outranks(Upstream{ID: u.ID, StartTimeMs: w.BornMs}, u)
+}
+
+// markLeft marks an upstream as left.
 func (t *Table) markLeft(current Upstream, known bool, u Upstream) Outcome {
 	if !known {
 		t.put(Upstream{}, u.withoutCold())
 		return Changed
 	}
-	if u.StartTimeMs != 0 && u.StartTimeMs < current.StartTimeMs || current.State == Left && current.StartTimeMs >= u.StartTimeMs {
+	same := current.StartTimeMs == u.StartTimeMs
+	if same && current.State == Left || !same && !t.outranks(u, current) {
 		return Stale
 	}
 	left := current.WithState(Left).withoutCold()
-	left.StartTimeMs = max(current.StartTimeMs, u.StartTimeMs)
+	left.StartTimeMs = u.StartTimeMs
 	left.LastSeen = u.LastSeen
 	t.put(current, left)
 	t.notify(current, left)
@@ -232,17 +263,16 @@
 		return true
 	}
 	other := t.byID[id]
-	if other.State != Left && other.StartTimeMs > u.StartTimeMs {
-		return false
+	if other.State == Left {
+		return true
 	}
-	if other.State != Left {
-		left := other.WithState(Left).withoutCold()
-		left.LastSeen = u.LastSeen
-		t.replaceDigest(other, left)
-		t.byID[id] = left
-		t.ready = nil
-		t.notify(other, left)
+	if other.StartTimeMs > u.StartTimeMs && !t.historyOf(id).ended.Replaced(other.StartTimeMs) {
+		return false
 	}
+	left := other.WithState(Left).withoutCold()
+	left.LastSeen = u.LastSeen
+	t.put(other, left)
+	t.notify(other, left)
 	return true
 }
 
@@ -253,6 +283,9 @@
 		delete(t.byAddr, current.Address)
 	}
 	t.replaceDigest(current, u)
+	h := t.historyOf(u.ID)
+	h.noteStart(u.StartTimeMs, u.LastSeen)
+	u.ended = h.ended.OnlyReplaced()
 	t.byID[u.ID] = u
 	if u.Address == "" {
 		return
@@ -341,5 +374,6 @@
 			delete(t.byAddr, u.Address)
 		}
 	}
+	t.expireHistories(now)
 	return removed
 }
--- a/internal/fleet/catalog/upstream.go
+++ b/internal/fleet/catalog/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hawthornhub.example/hawthornhub/internal/state/starts"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 )
 
@@ -62,6 +63,8 @@
 	// ColdMark is the highest mark on the upstream's zone, see Table.MarkCold, that the
 	// upstream has announced itself after.
 	ColdMark uint64
+	// ended are the replaced starts of the upstream, see package starts.
+	ended starts.Ended
 	// zoneMark is the mark on the upstream's zone in this process.
 	zoneMark uint64
 }
@@ -101,6 +104,8 @@
 		ColdSeq:    u.ColdSeq,
 		ColdLeftMs: ceilMilliseconds(u.ColdUntil.Sub(now)),
 		ColdMark:   u.ColdMark,
+
+		ReplacedMs: u.ended.ReplacedMs(),
 	}
 }
 
@@ -121,5 +126,6 @@
 		ColdSeq:     w.ColdSeq,
 		ColdUntil:   coldUntil(w, now),
 		ColdMark:    w.ColdMark,
+		ended:       starts.Ended{}.WithReplaced(w.ReplacedMs...),
 	}
 }
--- a/internal/fleet/catalog/validate.go
+++ b/internal/fleet/catalog/validate.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"unicode/utf8"
+
+	"hawthornhub.example/hawthornhub/internal/state/starts"
 )
 
 // InvalidUpstreamError reports an announcement that no table may hold.
@@ -17,8 +19,8 @@
 }
 
 // Validate returns an *InvalidUpstreamError if the upstream cannot be told to other
-// processes: a message with text that is not UTF-8 cannot be encoded, whatever else it
-// holds.
+// processes, as a message with text that is not UTF-8 cannot be encoded, whatever else it
+// holds, or if the log cannot record that it has ended.
 func (u Upstream) Validate() error {
 	for _, f := range []struct{ name, value string }{
 		{"ID", u.ID}, {"service", u.Service}, {"address", u.Address}, {"zone", u.Zone}, {"version", u.Version},
@@ -27,5 +29,8 @@
 			return &InvalidUpstreamError{Field: f.name, Remedy: "announce it in UTF-8"}
 		}
 	}
+	if len(u.ID) > starts.MaxIDBytes {
+		return &InvalidUpstreamError{Field: "ID", Remedy: fmt.Sprintf("announce one of at most %d bytes", starts.MaxIDBytes)}
+	}
 	return nil
 }
--- a/internal/state/fsm/machine_test.go
+++ b/internal/state/fsm/machine_test.go
@@ -200,3 +200,41 @@
 		}
 	})
 }
+
+// Guards against a snapshot that loses the ends of starts, and against one of an earlier
+// version, which has none, that cannot be loaded.
+func TestSnapshotKeepsEndedStarts(t *testing.T) {
+	m, err := New("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	earlier, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &statepb.MachineState{}
+	if err := proto.Unmarshal(earlier, s); err != nil {
+		t.Fatal(err)
+	}
+	s.EndedStarts = nil
+	if earlier, err = proto.Marshal(s); err != nil {
+		t.Fatal(err)
+	}
+	if m, err = Restore(earlier); err != nil {
+		t.Fatalf("snapshot of an earlier version: %v", err)
+	}
+	if got, want := m.EndedStarts().GetIndex(), uint64(1); got != want {
+		t.Errorf("index %d after a snapshot of an earlier version, want %d", got, want)
+	}
+	m.Apply(2, &statepb.Command{Body: &statepb.Command_EndStart{EndStart: &statepb.EndStart{Upstream: "u", BornMs: 7}}})
+	state, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m, err = Restore(state); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := m.EndedStarts().GetUpstreams(), 1; len(got) != want || got[0].GetBeforeMs() != 8 {
+		t.Errorf("ends after a restart: %v, want that of the start born at 7", got)
+	}
+}
--- a/internal/state/starts/ended.go
+++ b/internal/state/starts/ended.go
@@ -6,9 +6,9 @@
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 )
 
-// MaxReplaced is the number of replaced starts of one upstream that are kept. Each stands
-// for a clock that has gone back within the time for which records are kept.
-const MaxReplaced = 4
+// MaxReplaced is the number of replaced starts of one upstream that are kept. Each was
+// followed by a clock that went back within the time for which records are kept.
+const MaxReplaced = 8
 
 // Ended tells which starts of one upstream have ended. The zero value stands for none. It
 // is comparable: equal values stand for the same starts.
