watch, registry, hawthornhub: the end of a start is committed before it is acknowledged

A registry acknowledged draining and DELETE with what it held in memory, and any heartbeat with 200, heeded or not.

Announce commits the end of a start, then tells the entries. A start that is not known is accepted once the registry is sure of the ended ones, in the way of the evacuated zones: after a read from the leader, while it follows one without a gap. Without a leader it is accepted a minute after that, when no earlier message can arrive. What is not heeded is answered with 503: starts that have ended, disputed ones, and a DELETE without born that may be of an earlier start. Ready heartbeats and repeated drains commit nothing.

--- a/cmd/hawthornhub/registry.go
+++ b/cmd/hawthornhub/registry.go
@@ -112,6 +112,7 @@
 		TargetVoters:    2*s.Replica.MaxFailures + 1,
 		OnSiteDocument:  p.hub.SetSiteDocument,
 		OnEvacuations:   p.hub.SetEvacuations,
+		OnEndedStarts:   p.hub.SetEndedStarts,
 		Tick:            registryRaftTick,
 		SnapshotEntries: registrySnapshotEntries,
 		Pool:            p.replicaPool,
@@ -182,6 +183,10 @@
 	scope.Gauge("breakers_half_open").Update(float64(halfOpen))
 	scope.Gauge("breakers_open").Update(float64(open))
 	scope.Gauge("zones_evacuated").Update(float64(len(evacuation.Zones(p.hub.Evacuations()))))
+	scope.Gauge("upstreams_ended").Update(float64(len(p.hub.EndedStarts().GetUpstreams())))
+	if s := p.server.Load(); s != nil {
+		scope.Gauge("announcements_refused").Update(float64(s.Refused()))
+	}
 	scope.Gauge("news_whole").Update(float64(news.Whole))
 }
 
--- a/internal/api/registry/currency.go
+++ b/internal/api/registry/currency.go
@@ -1,20 +1,28 @@
 package registry
 
-import "time"
+import (
+	"time"
 
-// currencyLease is how long a control instance passes on the evacuated zones as the
-// present ones after it last knew that it follows the leader. It spans several ticks of
+	"hawthornhub.example/hawthornhub/internal/fleet/catalog"
+)
+
+// currencyLease is how long a control instance passes on the state of the log as the
+// present one after it last knew that it follows the leader. It spans several ticks of
 // confirmInterval, and is shorter than the time for which an instance must have been
 // suspended or cut off to miss an order that others have acknowledged.
 const currencyLease = 500 * time.Millisecond
 
-// currency is whether the evacuated zones that a control instance knows are sure to be the
-// present ones. They are after a confirmed read from the leader, for as long as the
-// instance goes on following a leader without a gap. It has no clock: times count from
-// the start of the machine and include its suspension.
+// currency is whether the evacuated zones and the ended starts that a control instance
+// knows are sure to be the present ones. They are after a confirmed read from the leader,
+// for as long as the instance goes on following a leader without a gap. It has no clock:
+// times count from the start of the machine and include its suspension.
 type currency struct {
-	// until is the end of the lease, 0 if there is none.
-	until time.Duration
+	// until is the end of the lease, 0 if there is none, and since is when it began.
+	until, since time.Duration
+	// lapsed is the end of the last lease, or the start of the instance. confirmed is set
+	// once there has been a lease.
+	lapsed    time.Duration
+	confirmed bool
 }
 
 // tick extends the lease if a leader is known and the lease has not ended. It reports
@@ -27,13 +35,39 @@
 	case !c.valid(now):
 		return true
 	default:
-		c.until = now + currencyLease
+		c.extend(now)
 		return false
 	}
 }
 
 // confirm begins a lease after a read that began at the given time.
-func (c *currency) confirm(began time.Duration) { c.until = max(c.until, began+currencyLease) }
+func (c *currency) confirm(began time.Duration) {
+	if !c.valid(began) {
+		c.since = began
+	}
+	c.confirmed = true
+	c.extend(began)
+}
+
+func (c *currency) extend(now time.Duration) {
+	c.until = max(c.until, now+currencyLease)
+	c.lapsed = max(c.lapsed, c.until)
+}
 
 // valid reports whether the state is sure to be the present one.
 func (c *currency) valid(now time.Duration) bool { return now < c.until }
+
+// missesNoEnd reports whether no message can arrive any more that was sent before the end
+// of a start that is not known here. Without a leader that is so after the longest delay
+// of a message: no end is acknowledged meanwhile, or others know of it.
+func (c *currency) missesNoEnd(now time.Duration) bool {
+	return c.valid(now) || now-c.lapsed > catalog.MaxDelay
+}
+
+// steadyFor returns for how long the state has been sure without a gap.
+func (c *currency) steadyFor(now time.Duration) time.Duration {
+	if !c.valid(now) {
+		return 0
+	}
+	return now - c.since
+}
--- a/internal/api/registry/evacuation.go
+++ b/internal/api/registry/evacuation.go
@@ -252,19 +252,23 @@
 func (s *Server) EvacuatedZones(ctx context.Context) (*statepb.Evacuations, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	return s.readEvacuations(ctx)
+	e, _, err := s.readOrders(ctx)
+	return e, err
 }
 
-func (s *Server) readEvacuations(ctx context.Context) (*statepb.Evacuations, error) {
+// readOrders returns the evacuated zones and the ended starts of upstreams. The latter are
+// nil if the leader runs a version that records none.
+func (s *Server) readOrders(ctx context.Context) (*statepb.Evacuations, *statepb.EndedStarts, error) {
 	var e *statepb.Evacuations
+	var ended *statepb.EndedStarts
 	err := s.callLeader(ctx, func(ctx context.Context) error {
-		return s.cfg.Replica.Read(ctx, func(m *fsm.Machine) { e = m.Evacuations() })
+		return s.cfg.Replica.Read(ctx, func(m *fsm.Machine) { e, ended = m.Evacuations(), m.EndedStarts() })
 	}, func(ctx context.Context, address string) error {
-		reply, err := s.cfg.Pool.RoundTrip(ctx, address, &fleetpb.Envelope{Body: &fleetpb.Envelope_Read{Read: &fleetpb.Read{Linear: true, Evacuations: true}}})
-		e = reply.GetReadReply().GetEvacuations()
+		reply, err := s.cfg.Pool.RoundTrip(ctx, address, &fleetpb.Envelope{Body: &fleetpb.Envelope_Read{Read: &fleetpb.Read{Linear: true, Evacuations: true, EndedStarts: true}}})
+		e, ended = reply.GetReadReply().GetEvacuations(), reply.GetReadReply().GetEndedStarts()
 		return err
 	})
-	return e, err
+	return e, ended, err
 }
 
 // EvacuationsCurrent reports whether the evacuated zones that the Hub knows are sure to be
@@ -276,7 +280,7 @@
 	return s.currency.valid(s.cfg.Now())
 }
 
-// confirmLoop reads the evacuated zones from the leader whenever this instance may have
+// confirmLoop reads the evacuated zones and the ended starts from the leader whenever this instance may have
 // missed a change.
 func (s *Server) confirmLoop() {
 	defer s.wg.Done()
@@ -288,6 +292,7 @@
 			return
 		case <-t.C:
 			s.confirmCurrent()
+			s.forgetEnds()
 		}
 	}
 }
@@ -302,12 +307,13 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, requestTimeout)
 	defer cancel()
-	e, err := s.readEvacuations(ctx)
+	e, ended, err := s.readOrders(ctx)
 	if err != nil || e.GetIndex() == 0 {
-		s.cfg.Log.Info("evacuated zones not confirmed by the leader yet", zap.Error(err))
+		s.cfg.Log.Info("evacuated zones and ended starts not confirmed by the leader yet", zap.Error(err))
 		return
 	}
 	s.cfg.Hub.SetEvacuations(e)
+	s.cfg.Hub.SetEndedStarts(ended)
 	s.mu.Lock()
 	s.currency.confirm(began)
 	s.mu.Unlock()
--- a/internal/api/registry/server.go
+++ b/internal/api/registry/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,6 +18,7 @@
 	"hawthornhub.example/hawthornhub/internal/state/fsm"
 	"hawthornhub.example/hawthornhub/internal/state/raft"
 	"hawthornhub.example/hawthornhub/internal/state/site"
+	"hawthornhub.example/hawthornhub/internal/state/starts"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 )
@@ -65,9 +67,15 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
-	// mu guards currency, which is that of the evacuated zones.
-	mu       sync.Mutex
-	currency currency
+	// refused counts the announcements that were not heeded.
+	refused atomic.Uint64
+	// mu guards what follows.
+	mu sync.Mutex
+	// currency is that of the evacuated zones and the ended starts.
+	currency  currency
+	retention retention
+	// forgotAt is when this instance last looked for ends that the log may forget.
+	forgotAt time.Duration
 }
 
 // New returns a Server.
@@ -76,6 +84,7 @@
 		cfg.Now = watch.BootTime
 	}
 	s := &Server{cfg: cfg, started: time.Now()}
+	s.currency.lapsed, s.forgotAt = cfg.Now(), cfg.Now()
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.wg.Add(1)
 	go s.confirmLoop()
@@ -115,9 +124,12 @@
 
 // Announce records the state that an upstream reports of itself. If it changes
 // anything, Announce returns once the watchers know of it, or after
-// propagationTimeout. If the upstream takes no calls any more, the error is then a
-// *NotToldError: calls may still be sent to it. An announcement that the watchers cannot
-// be told of is rejected with a *catalog.InvalidUpstreamError.
+// propagationTimeout. If the upstream takes no calls any more, that is committed to the
+// log first, and the error is a *NotToldError if not all watchers know of it: calls may
+// still be sent to it. An announcement that the watchers cannot be told of is rejected with
+// a *catalog.InvalidUpstreamError. No announcement is acknowledged that is not heeded:
+// there is an error if it is late, if it is not certain which start it is of, or if this
+// instance cannot know yet whether that start has ended.
 func (s *Server) Announce(ctx context.Context, u catalog.Upstream) error {
 	if err := u.Validate(); err != nil {
 		s.cfg.Log.Info("rejected invalid announcement", zap.String("upstream", u.ID), zap.String("service", u.Service), zap.Error(err))
@@ -126,6 +138,28 @@
 	if !s.reachesEntries() {
 		return &NoEntriesError{}
 	}
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	u, err := s.admit(ctx, u)
+	if err == nil && u.State != catalog.Ready {
+		err = s.recordEnd(ctx, u)
+	}
+	if err == nil {
+		err = s.tell(ctx, u)
+	}
+	if err != nil {
+		s.refused.Add(1)
+		s.cfg.Log.Info("announcement not acknowledged", zap.String("upstream", u.ID), zap.String("service", u.Service),
+			zap.Stringer("state", u.State), zap.Int64("born", u.StartTimeMs), zap.Uint64("seq", u.Seq), zap.Error(err))
+	}
+	return err
+}
+
+// Refused returns the number of announcements that were valid and not acknowledged.
+func (s *Server) Refused() uint64 { return s.refused.Load() }
+
+// tell applies an announcement and tells the watchers.
+func (s *Server) tell(ctx context.Context, u catalog.Upstream) error {
 	ctx, cancel := context.WithTimeout(ctx, propagationTimeout)
 	defer cancel()
 	outcome, untold := s.cfg.Hub.Announce(ctx, u)
@@ -135,6 +169,13 @@
 			zap.Stringer("state", u.State), zap.Int64("born", u.StartTimeMs), zap.Uint64("seq", u.Seq), zap.Stringer("outcome", outcome),
 			zap.Duration("cold", max(0, time.Until(u.ColdUntil))))
 	}
+	if u.State != catalog.Ready && !s.cfg.Hub.Upstreams().Heeds(u) {
+		// The log may tell of the committed end later.
+		s.cfg.Hub.NoteEnded(u.ID, starts.Ended{}.WithEnd(u.StartTimeMs))
+	}
+	if !s.cfg.Hub.Upstreams().Heeds(u) {
+		return &EndedStartError{Upstream: u.ID, BornMs: u.StartTimeMs}
+	}
 	if len(untold) == 0 {
 		return nil
 	}
@@ -182,7 +223,8 @@
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	start := time.Now()
-	result, err := s.propose(ctx, &statepb.Command{Body: &statepb.Command_Adopt{Adopt: site.NewAdopt(d.Version, text)}})
+	adopt := site.NewAdopt(d.Version, text)
+	result, err := s.propose(ctx, func() *statepb.Command { return &statepb.Command{Body: &statepb.Command_Adopt{Adopt: adopt}} })
 	if err != nil {
 		s.cfg.Log.Warn("could not commit site document", zap.Uint64("version", d.Version), zap.Error(err))
 		return err
@@ -240,14 +282,15 @@
 // Unwrap returns the error of the last try.
 func (e *UnavailableError) Unwrap() error { return e.Err }
 
-// propose commits a command through the leader.
-func (s *Server) propose(ctx context.Context, c *statepb.Command) (*statepb.Result, error) {
+// propose commits a command through the leader. Each try needs its own command, as the
+// leader numbers the one that it is given.
+func (s *Server) propose(ctx context.Context, command func() *statepb.Command) (*statepb.Result, error) {
 	var result *statepb.Result
 	err := s.callLeader(ctx, func(ctx context.Context) (err error) {
-		result, err = s.cfg.Replica.Propose(ctx, c)
+		result, err = s.cfg.Replica.Propose(ctx, command())
 		return err
 	}, func(ctx context.Context, address string) error {
-		e, err := s.cfg.Pool.RoundTrip(ctx, address, &fleetpb.Envelope{Body: &fleetpb.Envelope_Propose{Propose: &fleetpb.Propose{Command: c}}})
+		e, err := s.cfg.Pool.RoundTrip(ctx, address, &fleetpb.Envelope{Body: &fleetpb.Envelope_Propose{Propose: &fleetpb.Propose{Command: command()}}})
 		result = e.GetResult()
 		return err
 	})
--- a/internal/api/registry/server_test.go
+++ b/internal/api/registry/server_test.go
@@ -65,7 +65,7 @@
 	system := actor.NewActorSystem()
 	r, err := replica.Start(replica.Config{
 		Name: address, DataDir: t.TempDir(), Peers: []control.Address{{Name: address, Link: address}},
-		OnSiteDocument: hub.SetSiteDocument, OnEvacuations: hub.SetEvacuations, Tick: 10 * time.Millisecond, SnapshotEntries: 64,
+		OnSiteDocument: hub.SetSiteDocument, OnEvacuations: hub.SetEvacuations, OnEndedStarts: hub.SetEndedStarts, Tick: 10 * time.Millisecond, SnapshotEntries: 64,
 		Pool: pool, System: system, Timeline: timeline.NewRecorder(timeline.Config{}), Log: zap.NewNop(),
 		Fatal: func(err error) { t.Error(err) },
 	})
--- a/internal/fleet/watch/hub.go
+++ b/internal/fleet/watch/hub.go
@@ -60,6 +60,8 @@
 	siteDocument *statepb.Adopted
 	// evacuations are the evacuated zones, nil until they are known.
 	evacuations *statepb.Evacuations
+	// endedStarts are those that the log holds, nil until they are known.
+	endedStarts *statepb.EndedStarts
 	// board decides on the breakers of prompt segments.
 	board *breaker.Board
 	// peers holds the listed processes by name: this instance, its watchers and the
