backoff: the table of upstreams says which start is the present one

Newer compared born, so that what a replaced start had said stood against the start that had replaced it. Replace ends what any other start has said. The test calls it by its new name and expects the same.

--- a/cmd/hawthornhub/backoff.go
+++ b/cmd/hawthornhub/backoff.go
@@ -113,7 +113,7 @@
 
 // endEarlierStarts ends what earlier starts of an upstream said.
 func (g *gatewayProcess) endEarlierStarts(u catalog.Upstream) {
-	for _, e := range g.backoffs.Newer(eligible.StartOf(u)) {
+	for _, e := range g.backoffs.Replace(eligible.StartOf(u)) {
 		g.logBackoff(u.Service, e)
 	}
 }
--- a/internal/serve/backoff/table.go
+++ b/internal/serve/backoff/table.go
@@ -284,16 +284,17 @@
 	e.next = now + e.returnTime/returnSteps>>halvings
 }
 
-// Newer records that a start of an upstream is known, which ends what earlier ones have
-// said. It returns what ends.
-func (t *Table) Newer(s Start) []Event {
+// Replace records which start of an upstream is the present one, which ends what others have
+// said. It returns what ends. The present one may say that it was born earlier than one that
+// it has replaced.
+func (t *Table) Replace(s Start) []Event {
 	if t.count.Load() == 0 {
 		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[s.ID]
-	if e == nil || e.startTimeMs >= s.StartTimeMs {
+	if e == nil || e.startTimeMs == s.StartTimeMs {
 		return nil
 	}
 	t.remove(s.ID)
--- a/internal/serve/backoff/table_test.go
+++ b/internal/serve/backoff/table_test.go
@@ -58,7 +58,7 @@
 	if got, want := table.Decide(t0, second), (Decision{}); got != want {
 		t.Errorf("new start: got %v, want %v", got, want)
 	}
-	if got, want := names(table.Newer(second)), "u1@10 leaving ends;"; got != want {
+	if got, want := names(table.Replace(second)), "u1@10 leaving ends;"; got != want {
 		t.Errorf("new start: got %q, want %q", got, want)
 	}
 }
