--- a/internal/api/registry/currency.go
+++ b/internal/api/registry/currency.go
@@ -12,12 +12,18 @@
 // suspended or cut off to miss an order that others have acknowledged.
 const currencyLease = 500 * time.Millisecond
 
+// deafTime is how long an instance may be busy, or without a leader, and still have heard
+// the upstreams that are alive: what they send meanwhile waits for it. A busy machine delays
+// the ticks that extend a lease by more than the lease lasts.
+const deafTime = time.Second
+
 // currency is whether the evacuated zones and the ended starts that a control instance
 // knows are sure to be the present ones. They are after a confirmed read from the leader,
 // for as long as the instance goes on following a leader without a gap. It has no clock:
 // times count from the start of the machine and include its suspension.
 type currency struct {
-	// until is the end of the lease, 0 if there is none, and since is when it began.
+	// until is the end of the lease, 0 if there is none. since is when the first of the
+	// leases began that have followed each other within deafTime.
 	until, since time.Duration
 	// lapsed is the end of the last lease, or the start of the instance. confirmed is set
 	// once there has been a lease.
@@ -42,7 +48,7 @@
 
 // confirm begins a lease after a read that began at the given time.
 func (c *currency) confirm(began time.Duration) {
-	if !c.valid(began) {
+	if !c.confirmed || began-c.lapsed > deafTime {
 		c.since = began
 	}
 	c.confirmed = true
@@ -64,7 +70,7 @@
 	return c.valid(now) || now-c.lapsed > catalog.MaxDelay
 }
 
-// steadyFor returns for how long the state has been sure without a gap.
+// steadyFor returns for how long the state has been sure without a gap of over deafTime.
 func (c *currency) steadyFor(now time.Duration) time.Duration {
 	if !c.valid(now) {
 		return 0
--- a/internal/api/registry/starts.go
+++ b/internal/api/registry/starts.go
@@ -19,8 +19,8 @@
 	admissionTimeout = 600 * time.Millisecond
 	// admissionInterval is the time between two looks.
 	admissionInterval = 20 * time.Millisecond
-	// hearingTime is how long this instance must have run without a gap before it takes an
-	// upstream that it does not hear for one that has stopped. A live upstream announces
+	// hearingTime is how long this instance must have run without a gap of over deafTime
+	// before it takes an upstream that it does not hear for one that has stopped. A live upstream announces
 	// itself in that time, here or to another instance.
 	hearingTime = 2 * time.Second
 )
@@ -97,7 +97,10 @@
 	j := s.cfg.Hub.Upstreams().Judge(u)
 	switch {
 	case j.Standing == catalog.Disputed && j.Other.Silent && s.hearsUpstreams():
-		return true, s.endReplaced(ctx, u, j)
+		if err := s.endReplaced(ctx, u, j); err != nil {
+			return false, err
+		}
+		return true, &DisputedStartError{Upstream: u.ID, Other: j.Other}
 	case j.Standing == catalog.Disputed:
 		return true, &DisputedStartError{Upstream: u.ID, Other: j.Other}
 	case u.State != catalog.Ready:
@@ -121,7 +124,7 @@
 	s.cfg.Log.Warn("start replaced by one that says that it was born earlier; check the clock of its machine",
 		zap.String("upstream", j.Other.ID), zap.Int64s("replaced", j.Replaced), zap.String("by", u.ID), zap.Int64("born", u.StartTimeMs))
 	s.cfg.Hub.NoteEnded(j.Other.ID, starts.Ended{}.WithReplaced(j.Replaced...))
-	return &DisputedStartError{Upstream: u.ID, Other: j.Other}
+	return nil
 }
 
 // recordEnd commits the end of the start of an upstream that takes no calls any more.
--- a/internal/api/registry/starts_test.go
+++ b/internal/api/registry/starts_test.go
@@ -276,4 +276,6 @@
 	check("read after that", 110*second, true, 0)
 	c.tick(111*second, false)
 	check("no leader", 111*second, false, 0)
+	c.confirm(111*second + 400*time.Millisecond)
+	check("leader known again soon", 111*second+800*time.Millisecond, true, 1800*time.Millisecond)
 }
--- a/internal/fleet/catalog/history_test.go
+++ b/internal/fleet/catalog/history_test.go
@@ -265,3 +265,23 @@
 		}
 	})
 }
+
+// Guards against an upstream that stays away for good because its clock has gone back past
+// its last planned stop.
+func TestForgottenEndLetsEarlierBornStartIn(t *testing.T) {
+	table := New(Config{})
+	table.Announce(announcement("a", "1:1", 20, 1, Ready))
+	table.Announce(announcement("a", "1:1", 20, 2, Draining))
+	table.NoteEnded("a", starts.Ended{}.WithEnd(20), t0)
+	u := announcement("a", "1:1", 10, 1, Ready)
+	for _, tt := range []struct {
+		after time.Duration
+		want  Standing
+	}{{MaxDelay, Ended}, {tombstoneTTL + silentAfter + time.Second, Newcomer}} {
+		table.UpdateSilence(t0.Add(tt.after))
+		table.RemoveExpired(t0.Add(tt.after), 0)
+		if got := table.Judge(u).Standing; got != tt.want {
+			t.Errorf("%v after the end: standing %d, want %d", tt.after, got, tt.want)
+		}
+	}
+}
