--- a/internal/fleet/catalog/history_test.go
+++ b/internal/fleet/catalog/history_test.go
@@ -285,3 +285,18 @@
 		}
 	}
 }
+
+// BenchmarkJudge judges announcements of 400 upstreams.
+func BenchmarkJudge(b *testing.B) {
+	table := New(Config{})
+	upstreams := make([]Upstream, 400)
+	for i := range upstreams {
+		upstreams[i] = announcement(fmt.Sprint("u", i), fmt.Sprint("10.0.0.1:", i+1), 10, 1, Ready)
+		table.Announce(upstreams[i])
+	}
+	for i := 0; b.Loop(); i++ {
+		u := upstreams[i%len(upstreams)]
+		u.StartTimeMs -= int64(i % 2)
+		table.Judge(u)
+	}
+}
