--- a/internal/serve/backoff/table_test.go
+++ b/internal/serve/backoff/table_test.go
@@ -63,6 +63,22 @@
 	}
 }
 
+// Guards against what a replaced start has said that stands against the start which has
+// replaced it and says that it was born earlier: its clock has gone back.
+func TestReplacedStartSaysNothing(t *testing.T) {
+	table := newTable()
+	table.Observe(t0, second, Signal{Leaving: true})
+	if got, want := names(table.Replace(first)), "u1@20 leaving ends;"; got != want {
+		t.Errorf("replaced: got %q, want %q", got, want)
+	}
+	if got := names(table.Replace(first)); got != "" {
+		t.Errorf("the present start again: got %q, want nothing", got)
+	}
+	if got, want := names(table.Observe(t0, first, Signal{RetryAfter: time.Second})), "u1@10 retry-after begins;"; got != want {
+		t.Errorf("signal of the present start: got %q, want %q", got, want)
+	}
+}
+
 // Guards against a late answer of an earlier start that closes a later one.
 func TestSignalOfEarlierStartSaysNothing(t *testing.T) {
 	table := newTable()
