hangup: a SIGHUP in the first moments of a process does not end it

Cause: a process asked for SIGHUP only in waitForStop, after it had started everything; until then the signal had its default action. The signals also shared one channel, so that four SIGHUPs could have crowded out a SIGTERM.

Change: a constructor has SIGHUP ignored before the Go runtime starts, the package takes it when it is initialised, and reloads and stops have channels of their own. Commands that end with their terminal still do.

TestSignalWhileStarting failed without the constructor.

--- a/cmd/hawthornhub/main.go
+++ b/cmd/hawthornhub/main.go
@@ -27,6 +27,8 @@
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"hawthornhub.example/hawthornhub/internal/operator/hangup"
 )
 
 const version = "0.1.0"
@@ -55,6 +57,9 @@
 	run    func() error
 }
 
+// longRunning are the commands that run until they are stopped. They reload at SIGHUP.
+var longRunning = map[string]bool{"entry": true, "agent": true, "control": true, "gateway": true, "registry": true}
+
 func main() {
 	app := kingpin.New("hawthornhub", "Serving system for multi-stage model pipelines.")
 	app.HelpFlag.Short('h')
@@ -76,6 +81,9 @@
 	if err != nil {
 		exitWithError(&exitError{code: usageCode(os.Args[1:]), err: fmt.Errorf("%w; see hawthornhub --help", err)})
 	}
+	if !longRunning[selected] {
+		hangup.EndProcess()
+	}
 	for _, c := range commands {
 		if c.clause.FullCommand() == selected {
 			if err := c.run(); err != nil {
--- a/cmd/hawthornhub/run.go
+++ b/cmd/hawthornhub/run.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/process"
+	"hawthornhub.example/hawthornhub/internal/operator/hangup"
 	"hawthornhub.example/hawthornhub/internal/operator/settings"
 )
 
@@ -76,27 +77,29 @@
 // files meanwhile. The returned context limits the graceful stop: it ends after
 // timeout or at a second SIGTERM or SIGINT.
 func waitForStop(p *process.Process, timeout time.Duration) (context.Context, context.CancelFunc) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			break
+	stops, reloads := make(chan os.Signal, 4), hangup.Signals()
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	for stopping := false; !stopping; {
+		select {
+		case <-stops:
+			stopping = true
+		case <-reloads:
+			reloadCertificates(p)
 		}
-		if err := p.ReloadCertificates(); err != nil {
-			p.Log.Error("failed to reload TLS files", zap.Error(err))
-			continue
-		}
-		p.Log.Info("TLS files reloaded")
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	go func() {
-		for sig := range signals {
-			if sig != syscall.SIGHUP {
-				cancel()
-				return
-			}
-		}
+		<-stops
+		cancel()
 	}()
 	p.Log.Info("stopping", zap.Duration("bound", timeout))
 	return ctx, cancel
 }
+
+func reloadCertificates(p *process.Process) {
+	if err := p.ReloadCertificates(); err != nil {
+		p.Log.Error("failed to reload TLS files", zap.Error(err))
+		return
+	}
+	p.Log.Info("TLS files reloaded")
+}
--- a/cmd/hawthornhub/site.go
+++ b/cmd/hawthornhub/site.go
@@ -18,6 +18,7 @@
 	"hawthornhub.example/hawthornhub/internal/api/health"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/fleet/timeline"
+	"hawthornhub.example/hawthornhub/internal/operator/hangup"
 	"hawthornhub.example/hawthornhub/internal/operator/logs"
 	"hawthornhub.example/hawthornhub/internal/operator/settings"
 )
@@ -160,17 +161,16 @@
 // settings at each SIGHUP and whenever their file has changed, and passes them to
 // apply. The returned context ends graceMargin before the end of the grace period.
 func (p *siteProcess) waitForStop(apply func(settings.Site)) (context.Context, context.CancelFunc) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	stops, reloads := make(chan os.Signal, 1), hangup.Signals()
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 	t := time.NewTicker(settingsPollInterval)
 	defer t.Stop()
 	for stopping := false; !stopping; {
 		select {
-		case sig := <-signals:
-			stopping = sig != syscall.SIGHUP
-			if !stopping {
-				p.reloadSettings(apply)
-			}
+		case <-stops:
+			stopping = true
+		case <-reloads:
+			p.reloadSettings(apply)
 		case <-t.C:
 			if modTime := p.statSettings(); !modTime.Equal(p.settingsModTime) {
 				p.reloadSettings(apply)
