site, gateway, check: routes are matched on the path as sent and on hosts without case

Cause: a route was looked up by the decoded path, so that an escaped slash ended a segment, and by the host of the request in lower case, so that a route with a capital letter was never matched. A service beside a traffic split was not checked, and neither was any upper limit.

Change: Index.Route gets the path as it stands in the request target and compares hosts by their ASCII letters without case. Validate refuses an unknown service beside a split, numbers out of range and routes whose hosts differ only in case; ValidateStored leaves these rules out.

--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -293,7 +293,7 @@
 			return q, &failure{status: http.StatusBadRequest, reason: err.Error()}
 		}
 	}
-	route, ok := x.Route(r.Host, r.URL.Path)
+	route, ok := x.Route(r.Host, sentPath(r.RequestURI))
 	if !ok {
 		return q, &failure{status: http.StatusNotFound, reason: "no route for the host and path; check both"}
 	}
--- a/internal/operator/check/compare.go
+++ b/internal/operator/check/compare.go
@@ -135,6 +135,7 @@
 		{"allow anonymous", strconv.FormatBool(r.AllowAnonymous)},
 		{"resumable", strconv.FormatBool(r.Resumable)},
 		{"sticky", strconv.FormatBool(r.Sticky)},
+		{"service", strconv.Quote(r.Service)},
 		{"services", list(split)},
 		{"stages", list(stages)},
 	}
--- a/internal/state/site/document.go
+++ b/internal/state/site/document.go
@@ -45,7 +45,7 @@
 type Route struct {
 	Name string
 	Host string
-	// Prefix begins and ends with a slash.
+	// Prefix begins and ends with a slash. It is compared with the path as it was sent.
 	Prefix string
 	Kind   Kind
 	// Timeout is the maximum duration of a request, answer included. Callers
@@ -64,6 +64,8 @@
 	Priority int
 	// Split distributes the requests among services.
 	Split []WeightedService
+	// Service is a service that the route names besides a Split. It gets no requests by that.
+	Service string
 	// MaxAttempts is the maximum number of times that a request is sent to an
 	// upstream, the first included.
 	MaxAttempts int
--- a/internal/state/site/index.go
+++ b/internal/state/site/index.go
@@ -9,7 +9,8 @@
 // immutable and safe for concurrent use.
 type Index struct {
 	*Document
-	// routesByHost holds the routes of each host, the longest prefix first.
+	// routesByHost holds the routes of each host, written in lower case, the longest prefix
+	// first.
 	routesByHost  map[string][]*Route
 	services      map[string]*Service
 	accountsByKey map[string]*Account
@@ -29,10 +30,11 @@
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
-		x.routesByHost[r.Host] = append(x.routesByHost[r.Host], r)
+		host := lowerHost(r.Host)
+		x.routesByHost[host] = append(x.routesByHost[host], r)
 	}
 	for _, routes := range x.routesByHost {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+		slices.SortStableFunc(routes, byPrefix)
 	}
 	for i := range d.Accounts {
 		a := &d.Accounts[i]
@@ -43,10 +45,31 @@
 	return x
 }
 
-// Route returns the route of a host whose prefix is the longest that matches the
-// path.
+// byPrefix orders routes of one host by their prefixes, the longest first. Validate refuses
+// two routes whose hosts differ only in case and that share a prefix, but a document of an
+// earlier version of the program may have them: the one in lower case was in force then.
+func byPrefix(a, b *Route) int {
+	if n := len(b.Prefix) - len(a.Prefix); n != 0 {
+		return n
+	}
+	return strings.Compare(b.Host, a.Host)
+}
+
+// lowerHost returns a host with its ASCII letters in lower case, as hosts are compared. No
+// other letter may become one that a request can have in its host.
+func lowerHost(host string) string {
+	return strings.Map(func(r rune) rune {
+		if 'A' <= r && r <= 'Z' {
+			r += 'a' - 'A'
+		}
+		return r
+	}, host)
+}
+
+// Route returns the route of a host whose prefix is the longest that begins the path. The path
+// is that of the request as it was sent: an escaped slash is part of a segment and ends none.
 func (x *Index) Route(host, path string) (*Route, bool) {
-	for _, r := range x.routesByHost[strings.ToLower(host)] {
+	for _, r := range x.routesByHost[lowerHost(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r, true
 		}
--- a/internal/state/site/site_test.go
+++ b/internal/state/site/site_test.go
@@ -72,3 +72,62 @@
 		t.Error("an empty key belongs to an account")
 	}
 }
+
+// TestHostsAreComparedWithoutCase guards against a route whose host has a capital letter and
+// that no request reaches, and against one that letters other than ASCII lead to.
+func TestHostsAreComparedWithoutCase(t *testing.T) {
+	for _, tt := range []struct {
+		route, request string
+		want           bool
+	}{
+		{"A.example", "a.example", true},
+		{"A.EXAMPLE:8080", "a.Example:8080", true},
+		{"a.example", "A.example", true},
+		{"\u212a.example", "k.example", false},
+		{"\u0130.example", "i.example", false},
+	} {
+		d := valid()
+		d.Routes[0].Host = tt.route
+		if _, got := NewIndex(d).Route(tt.request, "/plans/7"); got != tt.want {
+			t.Errorf("a request to %s reaches a route of host %s: %v, want %v", tt.request, tt.route, got, tt.want)
+		}
+	}
+}
+
+// TestRoutesWhoseHostsDifferInCase guards against a document of which one route never gets a
+// request, and against a stored one that is served by another route than before.
+func TestRoutesWhoseHostsDifferInCase(t *testing.T) {
+	d := valid()
+	d.Routes[1].Host, d.Routes[1].Prefix = "A.example", "/plans/"
+	d.Routes[0], d.Routes[1] = d.Routes[1], d.Routes[0]
+	var invalid *ValidationError
+	if err := d.Validate(); !errors.As(err, &invalid) || !strings.Contains(err.Error(), "routes r2 and r1: they share a.example/plans/") {
+		t.Errorf("got %v, want a violation that names both routes", err)
+	}
+	if err := d.ValidateStored(); err != nil {
+		t.Errorf("a stored document is refused: %v", err)
+	}
+	if r, ok := NewIndex(d).Route("a.example", "/plans/7"); !ok || r.Name != "r1" {
+		t.Errorf("got route %v, want r1, which is written in lower case", r)
+	}
+}
+
+// TestPathIsMatchedAsSent guards against a request that another route gets because its path
+// was changed before it was compared.
+func TestPathIsMatchedAsSent(t *testing.T) {
+	d := valid()
+	d.Routes[2].Host, d.Routes[2].Prefix = "a.example", "/plans/a%2Fb/"
+	x := NewIndex(d)
+	for path, want := range map[string]string{
+		"/plans/winter%2F7": "r1", "/plans/winter/7": "r2", "/plans/a%2Fb/7": "r3", "/plans/a%2fb/7": "r1",
+		"/plans/a/b/7": "r1", "/plans%2F7": "", "/plans%2Fwinter/7": "", "/%70lans/7": "", "/plans/%77inter/7": "r1",
+	} {
+		got := ""
+		if r, ok := x.Route("a.example", path); ok {
+			got = r.Name
+		}
+		if got != want {
+			t.Errorf("%s goes to %q, want %q", path, got, want)
+		}
+	}
+}
--- a/internal/state/site/validate.go
+++ b/internal/state/site/validate.go
@@ -30,18 +30,50 @@
 	return "configuration refused: " + strings.Join(lines, "; ")
 }
 
-// Validate returns a *ValidationError if the document is invalid.
+// Validate returns a *ValidationError if the document must not be put in force.
 func (d *Document) Validate() error {
-	v := validator{services: make(map[string]bool, len(d.Services))}
+	v := d.check()
+	v.newRules(d)
+	return v.err()
+}
+
+// ValidateStored is Validate without the rules that earlier versions of the program did not
+// have, by which a document that they have accepted may be invalid.
+func (d *Document) ValidateStored() error { return d.check().err() }
+
+// check returns the violations of the rules that all versions of the program have.
+func (d *Document) check() *validator {
+	v := &validator{services: make(map[string]bool, len(d.Services))}
 	for _, s := range d.Services {
 		v.service(s)
 	}
 	v.routes(d.Routes)
 	v.accounts(d.Accounts)
-	if len(v.violations) > 0 {
-		return &ValidationError{Violations: v.violations}
+	return v
+}
+
+// newRules checks what earlier versions of the program did not.
+func (v *validator) newRules(d *Document) {
+	v.ranges(d)
+	seen := make(map[hostPrefix]Route, len(d.Routes))
+	for _, r := range d.Routes {
+		if r.Service != "" && !v.services[r.Service] {
+			v.add("route "+r.Name, "service", fmt.Sprintf("unknown service %q", r.Service), "add it, correct the name, or remove it beside the split")
+		}
+		key := hostPrefix{lowerHost(r.Host), r.Prefix}
+		if other, ok := seen[key]; ok && other.Host != r.Host {
+			v.add(fmt.Sprintf("routes %s and %s", other.Name, r.Name), "host", fmt.Sprintf("they share %s%s, as hosts are compared without case", key.host, key.prefix), "change one")
+		}
+		seen[key] = r
+	}
+}
+
+// err returns the violations as an error, nil if there are none.
+func (v *validator) err() error {
+	if len(v.violations) == 0 {
+		return nil
 	}
-	return nil
+	return &ValidationError{Violations: v.violations}
 }
 
 // validator collects the violations in a document. services holds the names of
