fsm, replica, watch: a first site document may have version 0

Cause: the version 0 stood for no document as well, in the state machine (adopt), in the leader's answer to a repeated proposal (joinAdopt, notifySiteDocument), in the hub and the follower of the watch stream, and in their messages.

Change: these compare with the document or with a version that may be absent. Watch.version, News.document and NewsSeen.document are optional fields; an old program at one end reads a missing one as 0 as before, and one that knows no version 0 never acknowledges it, so that the operator gets 503 until it is updated.

TestFirstSiteDocumentMayHaveVersionZero, TestDocumentOfVersionZeroIsFetched and TestFirstDocumentOfVersionZeroIsStored fail without each of the four conditions, as tried one by one.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -237,7 +237,7 @@
 func (g *gatewayProcess) watchRequest() *fleetpb.Watch {
 	w := &fleetpb.Watch{Self: g.selfPeer(), Breakers: g.breakers.Breakers()}
 	if x := g.server.Index(); x != nil {
-		w.Version = x.Version
+		w.Version = &x.Version
 	}
 	return w
 }
--- a/internal/api/registry/server_test.go
+++ b/internal/api/registry/server_test.go
@@ -43,8 +43,9 @@
 	zones      atomic.Pointer[statepb.Evacuations]
 	// suspended is added to the clock of the server, in nanoseconds.
 	suspended atomic.Int64
-	// version is that of the site document that the entry has applied.
-	version atomic.Uint64
+	// version is that of the site document that the entry has applied, documents the number
+	// of those.
+	version, documents atomic.Uint64
 }
 
 func newInstance(t *testing.T) *instance {
@@ -91,6 +92,7 @@
 		OnNews: func(*fleetpb.News) { time.Sleep(time.Duration(i.delay.Load())) },
 		OnDocument: func(a *statepb.Adopted) error {
 			i.version.Store(a.GetVersion())
+			i.documents.Add(1)
 			return nil
 		},
 		OnEvacuations: func(e *statepb.Evacuations) {
@@ -121,9 +123,13 @@
 	}
 }
 
-// decode takes every text for a document of version 7.
-func decode([]byte) (*site.Document, error) {
-	return &site.Document{Version: 7, Services: []site.Service{{Name: "s"}}}, nil
+// decode takes every text for a document of version 7, and an empty one for version 0.
+func decode(text []byte) (*site.Document, error) {
+	d := &site.Document{Version: 7, Services: []site.Service{{Name: "s"}}}
+	if len(text) == 0 {
+		d.Version = 0
+	}
+	return d, nil
 }
 
 func upstream(state catalog.State, seq uint64) catalog.Upstream {
@@ -181,3 +187,24 @@
 		t.Errorf("document: got error %v, want a *NoEntriesError", err)
 	}
 }
+
+// TestFirstDocumentOfVersionZeroIsStored guards against a first document that is acknowledged
+// and neither stored nor put in force because its version is 0.
+func TestFirstDocumentOfVersionZeroIsStored(t *testing.T) {
+	i := newInstance(t)
+	var none *NoDocumentError
+	if _, err := i.server.Document(context.Background()); !errors.As(err, &none) {
+		t.Errorf("got %v, want a NoDocumentError", err)
+	}
+	for range 2 {
+		if err := i.server.PutDocument(context.Background(), nil); err != nil {
+			t.Fatalf("put: %v", err)
+		}
+		if got, want := i.documents.Load(), uint64(1); got != want {
+			t.Errorf("the entry has put %d documents in force, want %d", got, want)
+		}
+	}
+	if _, err := i.server.Document(context.Background()); err != nil {
+		t.Errorf("read back: %v", err)
+	}
+}
--- a/internal/fleet/link/close_test.go
+++ b/internal/fleet/link/close_test.go
@@ -98,7 +98,7 @@
 	call := func(version uint64) error {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
-		_, err := pool.RoundTrip(ctx, s.Address(), &fleetpb.Envelope{Body: &fleetpb.Envelope_Watch{Watch: &fleetpb.Watch{Version: version}}})
+		_, err := pool.RoundTrip(ctx, s.Address(), &fleetpb.Envelope{Body: &fleetpb.Envelope_Watch{Watch: &fleetpb.Watch{Version: &version}}})
 		return err
 	}
 	if err := call(1); err == nil {
--- a/internal/fleet/replica/actor.go
+++ b/internal/fleet/replica/actor.go
@@ -68,9 +68,9 @@
 	confirmedAt time.Time
 	// snapshotIndex is the log index of the latest snapshot.
 	snapshotIndex uint64
-	// notifiedVersion is the version of the site document last passed to
-	// Config.OnSiteDocument.
-	notifiedVersion uint64
+	// notified is the site document last passed to Config.OnSiteDocument, nil before the
+	// first one.
+	notified *statepb.Adopted
 	// notifiedEvacuations is the log index of the evacuated zones last passed to
 	// Config.OnEvacuations.
 	notifiedEvacuations uint64
@@ -174,7 +174,7 @@
 	if adopt == nil || a.machine == nil {
 		return false
 	}
-	if d := a.machine.SiteDocument(); d.GetVersion() >= adopt.Version {
+	if d := a.machine.SiteDocument(); d != nil && d.GetVersion() >= adopt.Version {
 		msg.done <- proposalResult{result: a.machine.AdoptResult()}
 		return true
 	}
@@ -340,10 +340,10 @@
 		return
 	}
 	d := a.machine.SiteDocument()
-	if d.GetVersion() <= a.notifiedVersion {
+	if d == nil || a.notified != nil && d.GetVersion() <= a.notified.GetVersion() {
 		return
 	}
-	a.notifiedVersion = d.GetVersion()
+	a.notified = d
 	a.cfg.Timeline.Add("adopt", "", fmt.Sprintf("site document %d at index %d", d.GetVersion(), d.GetIndex()))
 	a.cfg.OnSiteDocument(d)
 }
--- a/internal/fleet/watch/acks.go
+++ b/internal/fleet/watch/acks.go
@@ -22,8 +22,9 @@
 // WaitDocument returns once a site document with at least the given version is in force
 // at all entries that watch this instance, or ctx is done. It returns the names of those
 // that lack it.
-func (h *Hub) WaitDocument(ctx context.Context, version uint64) []string {
-	return h.waitAll(ctx, func(w *watcher) bool { return w.document >= version || w.peer.GetRole() != RoleEntry })
+func (h *Hub) WaitDocument(ctx context.Context, number uint64) []string {
+	wanted := version{number: number, exists: true}
+	return h.waitAll(ctx, func(w *watcher) bool { return !wanted.newerThan(w.document) || w.peer.GetRole() != RoleEntry })
 }
 
 // waitAll returns once done holds for each present watcher and each entry that was lost
--- a/internal/fleet/watch/current.go
+++ b/internal/fleet/watch/current.go
@@ -122,7 +122,7 @@
 	defer f.mu.Unlock()
 	fr, now, newest := &f.freshness, f.cfg.Now(), f.newestSource()
 	fr.noteGap(now)
-	settled := newest != nil && (newest.document <= f.documents.settled || f.cfg.OnDocument == nil)
+	settled := newest != nil && (!newest.document.newerThan(f.documents.settled) || f.cfg.OnDocument == nil)
 	if settled && fr.caughtUp(now) && f.evacuationsSettled(fr) {
 		fr.behind = false
 	}
--- a/internal/fleet/watch/fetch.go
+++ b/internal/fleet/watch/fetch.go
@@ -28,9 +28,9 @@
 	// inForce is the version that was last put in force, received that of the newest
 	// document that was received, and settled that of the last one that was handled,
 	// with or without an error.
-	inForce, received, settled uint64
+	inForce, received, settled version
 	// newest is the newest version that is known to be offered, since offeredAt.
-	newest    uint64
+	newest    version
 	offeredAt time.Time
 	// asked is the control instance that was asked for a document at askedAt, nil if
 	// none was or the document has arrived.
@@ -43,8 +43,9 @@
 }
 
 func newDocuments(first *fleetpb.Watch) documents {
+	v := versionOf(first.Version)
 	return documents{
-		inForce: first.GetVersion(), received: first.GetVersion(), settled: first.GetVersion(),
+		inForce: v, received: v, settled: v,
 		wake: make(chan struct{}, 1),
 		self: first.GetSelf().GetName(), zone: first.GetSelf().GetZone(),
 	}
@@ -59,7 +60,7 @@
 }
 
 // documentInForce returns the version of the site document in force.
-func (f *Follower) documentInForce() uint64 {
+func (f *Follower) documentInForce() version {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.documents.inForce
@@ -94,11 +95,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	d := &f.documents
-	preferred, newest := f.offers()
-	if newest > d.newest {
-		d.newest, d.offeredAt = newest, now
+	preferred, offered := f.offers()
+	if offered.newerThan(d.newest) {
+		d.newest, d.offeredAt = offered, now
 	}
-	if newest <= d.received {
+	if !offered.newerThan(d.received) {
 		return nil, nil, fetchTimeout
 	}
 	if d.asked != nil && d.asked.connected {
@@ -107,34 +108,34 @@
 		}
 	}
 	from := preferred
-	if from.document <= d.received {
+	if !from.document.newerThan(d.received) {
 		if wait := preferredWait - now.Sub(d.offeredAt); wait > 0 {
 			return nil, nil, wait
 		}
 		from = f.newestSource()
 	}
 	d.asked, d.askedAt = from, now
-	return from.stream, &fleetpb.NewsSeen{Document: d.inForce, Fetch: true}, fetchTimeout
+	return from.stream, &fleetpb.NewsSeen{Document: d.inForce.proto(), Fetch: true}, fetchTimeout
 }
 
 // offers returns the connected control instance that documents are fetched from by
 // preference, nil if none is connected, and the newest version that any one offers.
 // Those in the own zone come first; among them rendezvous hashing spreads the followers. The
 // caller holds mu.
-func (f *Follower) offers() (preferred *source, newest uint64) {
+func (f *Follower) offers() (preferred *source, offered version) {
 	var best uint64
 	var near bool
 	for _, s := range f.sources {
 		if !s.connected {
 			continue
 		}
-		newest = max(newest, s.document)
+		offered = newest(offered, s.document)
 		sameZone, weight := s.peers[s.address].GetZone() == f.documents.zone, rendezvous.Weight(f.documents.self, s.address)
 		if preferred == nil || sameZone && !near || sameZone == near && weight > best {
 			preferred, near, best = s, sameZone, weight
 		}
 	}
-	return preferred, newest
+	return preferred, offered
 }
 
 // newestSource returns the connected control instance that offers the newest document,
@@ -142,7 +143,7 @@
 func (f *Follower) newestSource() *source {
 	var newest *source
 	for _, s := range f.sources {
-		if s.connected && (newest == nil || s.document > newest.document) {
+		if s.connected && (newest == nil || s.document.newerThan(newest.document)) {
 			newest = s
 		}
 	}
@@ -166,16 +167,16 @@
 		f.cfg.Log.Error("cannot put the site document in force", zap.Uint64("version", a.GetVersion()), zap.Error(err))
 		return
 	}
-	f.tellAll(&fleetpb.NewsSeen{Document: a.GetVersion()})
+	f.tellAll(&fleetpb.NewsSeen{Document: documentVersion(a).proto()})
 }
 
 // recordSettled records that a document was put in force, or could not be with err.
 func (f *Follower) recordSettled(a *statepb.Adopted, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.documents.settled = a.GetVersion()
+	f.documents.settled = documentVersion(a)
 	if err == nil {
-		f.documents.inForce = a.GetVersion()
+		f.documents.inForce = documentVersion(a)
 	}
 	f.signalCurrent()
 }
@@ -187,9 +188,9 @@
 	defer f.mu.Unlock()
 	defer f.documents.wakeUp()
 	f.documents.asked = nil
-	if a.GetVersion() <= f.documents.received {
+	if !documentVersion(a).newerThan(f.documents.received) {
 		return false
 	}
-	f.documents.received = a.GetVersion()
+	f.documents.received = documentVersion(a)
 	return true
 }
--- a/internal/fleet/watch/fetch_test.go
+++ b/internal/fleet/watch/fetch_test.go
@@ -1,11 +1,15 @@
 package watch
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
+	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 )
 
 // newFetchingFollower returns a Follower that follows control instances without a
@@ -24,9 +28,9 @@
 	return f
 }
 
-func (f *Follower) offer(version uint64, controls ...int) {
+func (f *Follower) offer(number uint64, controls ...int) {
 	for _, i := range controls {
-		f.sources[fmt.Sprint("control-", i)].document = version
+		f.sources[fmt.Sprint("control-", i)].document = versionOf(&number)
 	}
 }
 
@@ -71,7 +75,7 @@
 
 	f = newFetchingFollower(1)
 	f.offer(7, 0)
-	f.documents.received = 7
+	f.documents.received = versionOf(proto.Uint64(7))
 	check("the document is held", f, 0, "")
 }
 
@@ -96,12 +100,12 @@
 	w := c.hub.addWatcher(&fleetpb.Watch{Self: &fleetpb.Peer{Name: "e", Role: RoleEntry, Link: "e"}})
 	defer c.hub.removeWatcher(w)
 	n, _ := c.hub.nextNews(w, time.Now())
-	c.hub.acknowledge(w, &fleetpb.NewsSeen{Document: 7})
+	c.hub.acknowledge(w, &fleetpb.NewsSeen{Document: proto.Uint64(7)})
 	c.hub.mu.Lock()
 	outstanding, document := w.outstanding, w.document
 	c.hub.mu.Unlock()
-	if !outstanding || document != 7 {
-		t.Errorf("outstanding %v, document %d after a report, want true and 7", outstanding, document)
+	if !outstanding || document != versionOf(proto.Uint64(7)) {
+		t.Errorf("outstanding %v, document %v after a report, want true and 7", outstanding, document)
 	}
 	c.hub.acknowledge(w, &fleetpb.NewsSeen{Seq: n.Seq})
 	c.hub.mu.Lock()
@@ -110,3 +114,35 @@
 		t.Error("outstanding after the acknowledgement")
 	}
 }
+
+// TestDocumentOfVersionZeroIsFetched guards against a first document of version 0 that control
+// instances hold and that no entry puts in force, as if there were none; and against entries
+// that acknowledge it without having it.
+func TestDocumentOfVersionZeroIsFetched(t *testing.T) {
+	f := newFetchingFollower(1)
+	if got := f.asked(time.Now()); got != "" {
+		t.Errorf("%s is asked, want none before a document is offered", got)
+	}
+	f.offer(0, 0)
+	if got, want := f.asked(time.Now()), "control-0"; got != want {
+		t.Errorf("%q is asked, want %q", got, want)
+	}
+	c := newControlInstance(t)
+	w := c.hub.addWatcher(&fleetpb.Watch{Self: &fleetpb.Peer{Name: "e", Role: RoleEntry, Link: "e"}})
+	defer c.hub.removeWatcher(w)
+	c.hub.SetSiteDocument(&statepb.Adopted{Text: []byte("zero")})
+	c.hub.acknowledge(w, &fleetpb.NewsSeen{Fetch: true})
+	n, _ := c.hub.nextNews(w, time.Now())
+	if n.Document == nil || string(n.GetAdopted().GetText()) != "zero" {
+		t.Errorf("got %v, want the document of version 0", n)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	if got := c.hub.WaitDocument(ctx, 0); len(got) != 1 {
+		t.Errorf("%v lack the document, want the entry, which has none", got)
+	}
+	c.hub.acknowledge(w, &fleetpb.NewsSeen{Document: proto.Uint64(0)})
+	if got := c.hub.WaitDocument(context.Background(), 0); len(got) != 0 {
+		t.Errorf("%v lack the document, want none", got)
+	}
+}
--- a/internal/fleet/watch/follower.go
+++ b/internal/fleet/watch/follower.go
@@ -325,7 +325,7 @@
 	f.mu.Lock()
 	s.ackedAt = f.cfg.Now()
 	f.mu.Unlock()
-	seen := &fleetpb.NewsSeen{Seq: n.Seq, Digests: f.compare(s, n, time.Now()), Document: f.documentInForce(), EvacuationIndex: f.evacuationsInForce()}
+	seen := &fleetpb.NewsSeen{Seq: n.Seq, Digests: f.compare(s, n, time.Now()), Document: f.documentInForce().proto(), EvacuationIndex: f.evacuationsInForce()}
 	if n.Whole && f.cfg.Departed != nil {
 		seen.Upstreams = f.cfg.Departed()
 	}
--- a/internal/fleet/watch/hub.go
+++ b/internal/fleet/watch/hub.go
@@ -107,7 +107,7 @@
 func (h *Hub) SetSiteDocument(a *statepb.Adopted) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if a.GetVersion() <= h.siteDocument.GetVersion() {
+	if !documentVersion(a).newerThan(documentVersion(h.siteDocument)) {
 		return
 	}
 	h.siteDocument = a
@@ -243,7 +243,7 @@
 	}
 	w := &watcher{
 		peer:     first.GetSelf(),
-		document: first.GetVersion(),
+		document: versionOf(first.Version),
 
 		evacuations: first.GetEvacuationIndex(),
 		whole:       true,
@@ -325,7 +325,7 @@
 		h.setPeer(self.GetName(), self)
 		return
 	}
-	w.document = max(w.document, ack.GetDocument())
+	w.document = newest(w.document, versionOf(ack.Document))
 	w.evacuations = max(w.evacuations, ack.GetEvacuationIndex())
 	w.fetch = w.fetch || ack.GetFetch()
 	w.signalAck()
--- a/internal/fleet/watch/news.go
+++ b/internal/fleet/watch/news.go
@@ -46,7 +46,7 @@
 	if idle := w.idleInterval() - now.Sub(w.sentAt); idle > 0 && !w.whole && len(w.buckets) == 0 && !w.fetch && !slices.ContainsFunc(changed, w.wants) {
 		return nil, idle
 	}
-	n := &fleetpb.News{Seq: h.changes.last, Incarnation: h.incarnation, Whole: w.whole, Digest: h.cfg.Table.Digests().Sum(), Document: h.siteDocument.GetVersion()}
+	n := &fleetpb.News{Seq: h.changes.last, Incarnation: h.incarnation, Whole: w.whole, Digest: h.cfg.Table.Digests().Sum(), Document: documentVersion(h.siteDocument).proto()}
 	for _, k := range changed {
 		if w.wants(k) {
 			h.describe(n, k, w, now)
@@ -85,7 +85,7 @@
 // describeDocument adds the site document if the watcher has asked for it. The caller
 // holds mu.
 func (h *Hub) describeDocument(n *fleetpb.News, w *watcher) {
-	if w.fetch && h.siteDocument.GetVersion() > w.document {
+	if w.fetch && documentVersion(h.siteDocument).newerThan(w.document) {
 		n.Adopted = h.siteDocument
 	}
 	w.fetch = false
--- a/internal/fleet/watch/source.go
+++ b/internal/fleet/watch/source.go
@@ -30,7 +30,7 @@
 	// Config.Now. The next News is sent after that.
 	ackedAt time.Duration
 	// document is the version of the site document that it offers.
-	document uint64
+	document version
 	// evacuations is the log index of the evacuated zones in the last News, 0 if the
 	// control instance was not sure of them.
 	evacuations uint64
@@ -52,7 +52,7 @@
 
 // apply takes over the changes of a News.
 func (s *source) apply(n *fleetpb.News) {
-	s.incarnation, s.seq, s.document, s.evacuations = n.Incarnation, n.Seq, n.Document, n.EvacuationIndex
+	s.incarnation, s.seq, s.document, s.evacuations = n.Incarnation, n.Seq, versionOf(n.Document), n.EvacuationIndex
 	if n.Whole {
 		s.previousPeers = s.peers
 		s.peers, s.silent = make(map[string]*fleetpb.Peer), make(map[string]bool)
--- a/internal/fleet/watch/watcher.go
+++ b/internal/fleet/watch/watcher.go
@@ -14,7 +14,7 @@
 type watcher struct {
 	peer *fleetpb.Peer
 	// document is the version of the site document that is in force at the watcher.
-	document uint64
+	document version
 	// evacuations is the log index of the evacuated zones that the watcher acts on.
 	evacuations uint64
 	// fetch is set while the watcher waits for the site document.
--- a/internal/state/fsm/site_document.go
+++ b/internal/state/fsm/site_document.go
@@ -2,11 +2,11 @@
 
 import "hawthornhub.example/hawthornhub/internal/wire/statepb"
 
-// adopt replaces the site document if the new version is higher than the
-// current one. A lower or equal version changes nothing and succeeds, so that a
+// adopt replaces the site document if there is none or the new version is higher
+// than the current one. A lower or equal version changes nothing and succeeds, so that a
 // command may be repeated.
 func (m *Machine) adopt(index uint64, a *statepb.Adopt) *statepb.Result {
-	if a.Version > m.siteDocument.GetVersion() {
+	if m.siteDocument == nil || a.Version > m.siteDocument.GetVersion() {
 		m.siteDocument = &statepb.Adopted{Version: a.Version, Text: a.Text, Encoding: a.Encoding, Index: index}
 	}
 	return m.AdoptResult()
--- a/internal/state/fsm/site_document_test.go
+++ b/internal/state/fsm/site_document_test.go
@@ -39,19 +39,44 @@
 	}
 }
 
+// TestFirstSiteDocumentMayHaveVersionZero guards against a first document of version 0 that is
+// acknowledged and not stored, or that a snapshot loses.
+func TestFirstSiteDocumentMayHaveVersionZero(t *testing.T) {
+	m := newMachine(t)
+	m.Apply(2, adoptCommand(0, "zero"))
+	m.Apply(3, adoptCommand(0, "another zero"))
+	state, err := m.Snapshot()
+	if err != nil {
+		t.Fatalf("snapshot: %v", err)
+	}
+	restored, err := Restore(state)
+	if err != nil {
+		t.Fatalf("restore: %v", err)
+	}
+	for name, m := range map[string]*Machine{"applied": m, "restored": restored} {
+		if d := m.SiteDocument(); d == nil || string(d.Text) != "zero" || d.Index != 2 {
+			t.Errorf("%s: got %v, want the first document of version 0", name, d)
+		}
+	}
+	m.Apply(4, adoptCommand(1, "one"))
+	if got, want := string(m.SiteDocument().GetText()), "one"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
 // With two operators, repeated commands and restarts from a snapshot at any
 // point, the site document is the first text of the highest version.
 func TestSiteDocumentAgainstModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t)
-		version, text := uint64(0), ""
-		steps := rapid.SliceOfN(rapid.IntRange(0, 9), 1, 40).Draw(t, "versions")
+		version, text := -1, ""
+		steps := rapid.SliceOfN(rapid.IntRange(-1, 9), 1, 40).Draw(t, "versions")
 		for i, v := range steps {
 			content := fmt.Sprintf("operator %d", i%2)
-			if v > 0 && uint64(v) > version {
-				version, text = uint64(v), content
+			if v > version {
+				version, text = v, content
 			}
-			if v == 0 {
+			if v < 0 {
 				state, err := m.Snapshot()
 				if err != nil {
 					t.Fatalf("snapshot: %v", err)
@@ -64,7 +89,7 @@
 			m.Apply(uint64(i+2), adoptCommand(uint64(v), content))
 		}
 		got := fmt.Sprintf("%d %s", m.SiteDocument().GetVersion(), m.SiteDocument().GetText())
-		if want := fmt.Sprintf("%d %s", version, text); got != want {
+		if want := fmt.Sprintf("%d %s", max(0, version), text); got != want {
 			t.Fatalf("site document %q, want %q", got, want)
 		}
 	})
