strictjson, platform, registry: what is submitted is refused or served whole

Cause: encoding/json replaces bytes that are not UTF-8 and halves of surrogate pairs, and of fields that occur twice takes the last or merges both. Text that was not UTF-8 was refused without a field; numbers beyond an int64 became whatever the processor makes of them.

--- a/cmd/hawthornhub/document.go
+++ b/cmd/hawthornhub/document.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -92,14 +93,11 @@
 		if err != nil {
 			return fmt.Errorf("read document: %w", err)
 		}
-		d, err := platform.DecodeSubmitted(text)
-		if err == nil {
-			err = d.Validate()
-		}
-		if err != nil {
-			return &exitError{code: exitUsage, err: err}
-		}
 		return client.run(func(ctx context.Context, c *control.Client) error {
+			d, err := admitDocument(ctx, c, text)
+			if err != nil {
+				return err
+			}
 			result, err := c.Propose(ctx, &statepb.Command{Body: &statepb.Command_Adopt{Adopt: site.NewAdopt(d.Version, text)}})
 			if err != nil {
 				return err
@@ -112,3 +110,32 @@
 		})
 	}}
 }
+
+// admitDocument decodes and validates a document. The document in force is valid in any case: an
+// earlier version of the program may have accepted it by other rules.
+func admitDocument(ctx context.Context, c *control.Client, text []byte) (*site.Document, error) {
+	d, err := platform.DecodeSubmitted(text)
+	if err == nil {
+		err = d.Validate()
+	}
+	if err == nil {
+		return d, nil
+	}
+	invalid := &exitError{code: exitUsage, err: err}
+	stored, err := platform.DecodeDocument(text)
+	if err != nil || stored.ValidateStored() != nil {
+		return nil, invalid
+	}
+	reply, err := c.Read(ctx, &fleetpb.Read{Adopted: true})
+	if err != nil {
+		return nil, err
+	}
+	if reply.Adopted == nil {
+		return nil, invalid
+	}
+	current, err := site.Text(reply.Adopted)
+	if err != nil || !bytes.Equal(current, text) {
+		return nil, invalid
+	}
+	return stored, nil
+}
--- a/cmd/hawthornhub/registry.go
+++ b/cmd/hawthornhub/registry.go
@@ -136,7 +136,7 @@
 		Log:     p.log,
 	}))
 	p.startGauges(p.updateGauges)
-	server := registry.New(registry.Config{Hub: p.hub, Replica: r, Pool: p.replicaPool, Decode: platform.DecodeSubmitted, Entries: p.listedEntries, Log: p.log})
+	server := registry.New(registry.Config{Hub: p.hub, Replica: r, Pool: p.replicaPool, Decode: platform.DecodeSubmitted, DecodeStored: platform.DecodeDocument, Entries: p.listedEntries, Log: p.log})
 	p.server.Store(server)
 	p.http = &http.Server{Handler: platform.RegistryMux(server), ConnContext: registry.ConnContext, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: httpIdleTimeout}
 	return errors.Join(p.serveHealth(p.checkReady), p.serveOn(s.Listen.Registry, p.http))
--- a/internal/api/registry/doc.go
+++ b/internal/api/registry/doc.go
@@ -13,7 +13,7 @@
 //
 // # Usage
 //
-//	s := registry.New(registry.Config{Hub: hub, Replica: r, Pool: pool, Decode: decode})
+//	s := registry.New(registry.Config{Hub: hub, Replica: r, Pool: pool, Decode: decode, DecodeStored: decodeStored})
 //	defer s.Close()
 //	err := s.PutDocument(ctx, text) // an *InvalidDocumentError if the text is invalid
 //	err = s.Evacuate(ctx, zone)
--- a/internal/api/registry/server.go
+++ b/internal/api/registry/server.go
@@ -48,6 +48,9 @@
 	Pool    *link.Pool
 	// Decode parses a site document. The Server validates it.
 	Decode func(text []byte) (*site.Document, error)
+	// DecodeStored parses a committed document, which an earlier version of the program may
+	// have accepted by other rules.
+	DecodeStored func(text []byte) (*site.Document, error)
 	// Entries returns the names of the entries that any control instance lists; nil
 	// stands for none.
 	Entries func() []string
@@ -171,13 +174,9 @@
 // *InvalidDocumentError if the document is invalid, a *NotInForceError if some entries
 // take longer than documentTimeout, and a *NoEntriesError if none is connected.
 func (s *Server) PutDocument(ctx context.Context, text []byte) error {
-	d, err := s.cfg.Decode(text)
-	if err == nil {
-		err = d.Validate()
-	}
+	d, err := s.admit(ctx, text)
 	if err != nil {
-		s.cfg.Log.Info("rejected invalid site document", zap.Int("bytes", len(text)), zap.Error(err))
-		return &InvalidDocumentError{Err: err}
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
--- a/internal/api/registry/server_test.go
+++ b/internal/api/registry/server_test.go
@@ -81,7 +81,7 @@
 	}
 	i := &instance{address: address, hub: hub}
 	i.server = New(Config{
-		Hub: hub, Replica: r, Pool: pool, Decode: decode, Log: zap.NewNop(),
+		Hub: hub, Replica: r, Pool: pool, Decode: decode, DecodeStored: decodeStored, Log: zap.NewNop(),
 		Now: func() time.Duration { return watch.BootTime() + time.Duration(i.suspended.Load()) },
 	})
 	i.entry = watch.NewFollower(watch.FollowerConfig{
@@ -123,8 +123,19 @@
 	}
 }
 
-// decode takes every text for a document of version 7, and an empty one for version 0.
+// decode takes every text for a document of version 7, an empty one for version 0, and rejects
+// one that the decoder for committed documents accepts.
 func decode(text []byte) (*site.Document, error) {
+	if string(text) == "lax" || string(text) == "lax too" {
+		return nil, errors.New("too lax")
+	}
+	return decodeStored(text)
+}
+
+func decodeStored(text []byte) (*site.Document, error) {
+	if string(text) == "broken" {
+		return nil, errors.New("broken")
+	}
 	d := &site.Document{Version: 7, Services: []site.Service{{Name: "s"}}}
 	if len(text) == 0 {
 		d.Version = 0
@@ -208,3 +219,26 @@
 		t.Errorf("read back: %v", err)
 	}
 }
+
+// TestCurrentDocumentIsAcknowledgedThoughRulesAreStricter guards against an operator who sends the
+// document in force again, as after an answer that was lost, and has it refused by rules that the
+// program did not have when it accepted the document; and against another document that gets by.
+func TestCurrentDocumentIsAcknowledgedThoughRulesAreStricter(t *testing.T) {
+	i := newInstance(t)
+	ctx := context.Background()
+	if _, err := i.server.propose(ctx, &statepb.Command{Body: &statepb.Command_Adopt{Adopt: site.NewAdopt(7, []byte("lax"))}}); err != nil {
+		t.Fatalf("propose: %v", err)
+	}
+	if err := i.server.PutDocument(ctx, []byte("lax")); err != nil {
+		t.Errorf("the document in force: got %v, want no error", err)
+	}
+	for _, text := range []string{"lax too", "broken"} {
+		var invalid *InvalidDocumentError
+		if err := i.server.PutDocument(ctx, []byte(text)); !errors.As(err, &invalid) {
+			t.Errorf("%s: got %v, want an InvalidDocumentError", text, err)
+		}
+	}
+	if got, err := i.server.Document(ctx); err != nil || string(got) != "lax" {
+		t.Errorf("got %q, %v, want the first document", got, err)
+	}
+}
