--- a/cmd/hawthornhub/agent.go
+++ b/cmd/hawthornhub/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -164,9 +163,9 @@
 }
 
 func (p *agentProcess) handleAnnounce(w http.ResponseWriter, r *http.Request) {
-	var ann upstream.Announcement
-	if err := json.NewDecoder(r.Body).Decode(&ann); err != nil || ann.Kind == "" || ann.Slots < 1 || ann.Address == "" {
-		http.Error(w, "announce kind, slots and address", http.StatusBadRequest)
+	ann, err := upstream.DecodeAnnouncement(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	p.agent.Announce(ann)
@@ -174,9 +173,9 @@
 }
 
 func (p *agentProcess) handleLoad(w http.ResponseWriter, r *http.Request) {
-	var l upstream.Load
-	if err := json.NewDecoder(r.Body).Decode(&l); err != nil {
-		http.Error(w, "report running and waiting", http.StatusBadRequest)
+	l, err := upstream.DecodeLoad(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	p.agent.ReportLoad(l)
--- a/internal/api/caller/server.go
+++ b/internal/api/caller/server.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -15,6 +16,7 @@
 
 	"github.com/google/uuid"
 
+	"hawthornhub.example/hawthornhub/internal/api/strictjson"
 	"hawthornhub.example/hawthornhub/internal/fleet/control"
 	"hawthornhub.example/hawthornhub/internal/fleet/timeline"
 	"hawthornhub.example/hawthornhub/internal/serve/limit"
@@ -165,11 +167,12 @@
 
 func (s *Server) decodeBody(w http.ResponseWriter, r *http.Request) (Body, error) {
 	var body Body
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
-	d.DisallowUnknownFields()
-	err := d.Decode(&body)
-	if err == nil && d.More() {
-		err = errors.New("more than one JSON value")
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
+	if err == nil && len(bytes.TrimSpace(text)) == 0 {
+		err = io.EOF
+	}
+	if err == nil {
+		err = strictjson.DecodeKnown(text, &body)
 	}
 	var large *http.MaxBytesError
 	switch {
--- a/internal/api/operator/query.go
+++ b/internal/api/operator/query.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"sort"
 	"strings"
+	"unicode/utf8"
 
 	"hawthornhub.example/hawthornhub/internal/fleet/timeline"
 	"hawthornhub.example/hawthornhub/internal/state/evacuation"
@@ -28,11 +29,15 @@
 }
 
 func (s *Server) history(w http.ResponseWriter, r *http.Request, req request) {
+	limit, ok := limitParam(w, r)
+	if !ok {
+		return
+	}
 	var out []HistoryEntry
 	for _, e := range req.state.History {
 		out = append(out, HistoryEntry{ID: e.Id, Team: e.Team, Sections: e.Detail, Result: ResultName(e.Result.GetKind()), Index: e.Index, AtMs: e.AtMs})
 	}
-	if n := int(limitParam(r)); n > 0 && len(out) > n {
+	if n := int(limit); n > 0 && len(out) > n {
 		out = out[len(out)-n:]
 	}
 	writeJSON(w, http.StatusOK, out)
@@ -64,8 +69,18 @@
 }
 
 func (s *Server) timeline(w http.ResponseWriter, r *http.Request, req request) {
+	limit, ok := limitParam(w, r)
+	if !ok {
+		return
+	}
+	id := r.URL.Query().Get("request")
+	if !utf8.ValidString(id) {
+		// No message to another process can hold it.
+		writeProblem(w, http.StatusBadRequest, Problem{Kind: "bad_request", Detail: "request: is not UTF-8", Remedy: "send the id of a request as the log shows it"})
+		return
+	}
 	var lists [][]*fleetpb.Event
-	events := &fleetpb.EventsRequest{Request: r.URL.Query().Get("request"), Limit: limitParam(r)}
+	events := &fleetpb.EventsRequest{Request: id, Limit: limit}
 	unresponsive := s.queryAll(req.ctx, &fleetpb.Envelope{Body: &fleetpb.Envelope_EventsRequest{EventsRequest: events}}, func(e *fleetpb.Envelope) {
 		lists = append(lists, e.GetEventsReply().GetEvents())
 	})
--- a/internal/api/operator/server.go
+++ b/internal/api/operator/server.go
@@ -7,12 +7,14 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"sort"
 	"strconv"
 	"sync"
 	"time"
 
+	"hawthornhub.example/hawthornhub/internal/api/strictjson"
 	"hawthornhub.example/hawthornhub/internal/fleet/control"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/fleet/timeline"
@@ -121,9 +123,11 @@
 }
 
 func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	d.DisallowUnknownFields()
-	if err := d.Decode(v); err != nil {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err == nil {
+		err = strictjson.DecodeKnown(body, v)
+	}
+	if err != nil {
 		writeProblem(w, http.StatusBadRequest, Problem{Kind: "bad_request", Detail: err.Error(), Remedy: "send the documented JSON"})
 		return false
 	}
@@ -170,13 +174,19 @@
 	return nil
 }
 
-// limitParam returns the query parameter limit, or 0 for none.
-func limitParam(r *http.Request) uint32 {
-	n, err := strconv.ParseUint(r.URL.Query().Get("limit"), 10, 32)
+// limitParam returns the query parameter limit, or 0 for none. It answers a request whose
+// parameter is no such number, and returns false.
+func limitParam(w http.ResponseWriter, r *http.Request) (uint32, bool) {
+	text := r.URL.Query().Get("limit")
+	if text == "" {
+		return 0, true
+	}
+	n, err := strconv.ParseUint(text, 10, 32)
 	if err != nil {
-		return 0
+		writeProblem(w, http.StatusBadRequest, Problem{Kind: "bad_request", Detail: fmt.Sprintf("limit: %q is not a whole number", text), Remedy: "send a number of entries, or leave it out for all"})
+		return 0, false
 	}
-	return uint32(n)
+	return uint32(n), true
 }
 
 func writeUnknownProcess(w http.ResponseWriter, name string) {
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"net"
+	"net/netip"
 	"os"
 	"strings"
 	"time"
@@ -227,20 +227,20 @@
 		if s.Replica.DocumentFile == "" {
 			out = append(out, "replica.document_file: missing; name the first document")
 		}
-		if s.Replica.TickMs < 1 || s.Replica.SnapshotEntries < 1 {
-			out = append(out, "replica: tick_ms and snapshot_entries must be positive")
+		if s.Replica.TickMs < 1 || s.Replica.TickMs > maxMs || s.Replica.SnapshotEntries < 1 {
+			out = append(out, fmt.Sprintf("replica: tick_ms and snapshot_entries must be positive, tick_ms at most %d", maxMs))
 		}
 		if !s.controlIncludesSelf() {
 			out = append(out, "control: does not list "+s.Name+"; list every control instance, this one too")
 		}
 	case RoleAgent:
 		out = append(out, addressViolation("agent.announce", s.Agent.Announce)...)
-		if s.Agent.StallMs < 1 {
-			out = append(out, "agent.stall_ms: must be positive")
+		if s.Agent.StallMs < 1 || s.Agent.StallMs > maxMs {
+			out = append(out, fmt.Sprintf("agent.stall_ms: %d; give a time from 1 to %d", s.Agent.StallMs, maxMs))
 		}
 	case RoleEntry:
-		if s.Entry.MaxBodyBytes < 1 || s.Entry.StopMs < 1 || s.Entry.DrainMs < 0 {
-			out = append(out, "entry: max_body_bytes and stop_ms must be positive, drain_ms not negative")
+		if s.Entry.MaxBodyBytes < 1 || s.Entry.StopMs < 1 || s.Entry.DrainMs < 0 || max(s.Entry.StopMs, s.Entry.DrainMs) > maxMs {
+			out = append(out, fmt.Sprintf("entry: max_body_bytes and stop_ms must be positive, drain_ms not negative, both times at most %d", maxMs))
 		}
 	default:
 		out = append(out, "unknown role "+string(role))
@@ -259,8 +259,7 @@
 }
 
 func addressViolation(field, address string) []string {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil || net.ParseIP(host) == nil {
+	if _, err := netip.ParseAddrPort(address); err != nil {
 		return []string{fmt.Sprintf("%s: %q is not IP:port; give an address such as 10.0.0.5:7100", field, address)}
 	}
 	return nil
--- a/internal/operator/settings/site.go
+++ b/internal/operator/settings/site.go
@@ -145,17 +145,38 @@
 	return s, s.validate(role)
 }
 
+const (
+	// maxPort is the highest TCP port.
+	maxPort = 65535
+	// maxMs is the longest time in a settings file, a day in milliseconds. A longer one is a
+	// wrong unit.
+	maxMs = 24 * 60 * 60 * 1000
+	// maxMemoryMB is the largest memory of an instance, 2^24 MiB, whose number of bytes fits
+	// an int64.
+	maxMemoryMB = 1 << 24
+	// maxFaults is the largest number of control instances that may be lost at once.
+	maxFaults = 100
+	// maxRetries is beyond any bound of retries that protects upstreams.
+	maxRetries = 1_000_000
+)
+
 func (s Site) validate(role Role) []string {
 	out := identityViolations(s.Name, s.Zone, s.FleetKeyFile)
 	add := func(field, remedy string) { out = append(out, field+": "+remedy) }
 	if len(s.Seeds) == 0 {
 		add("seeds", "missing; list control instances")
 	}
-	if s.ControlPort < 1 {
+	if s.ControlPort < 1 || s.ControlPort > maxPort {
 		add("control_port", "missing; give the port at which control instances take links")
 	}
-	if s.Stop.GraceMs < 1 {
-		add("stop.grace_ms", "must be positive")
+	if s.Stop.GraceMs < 1 || s.Stop.GraceMs > maxMs {
+		add("stop.grace_ms", fmt.Sprintf("%d; give a time from 1 to %d", s.Stop.GraceMs, maxMs))
+	}
+	if s.MemoryMB < 0 || s.MemoryMB > maxMemoryMB {
+		add("memory_mb", fmt.Sprintf("%d; give the memory of the instance, at most %d, or 0 for no limit", s.MemoryMB, maxMemoryMB))
+	}
+	if s.Replica.MaxFailures < 0 || s.Replica.MaxFailures > maxFaults {
+		add("replica.faults", fmt.Sprintf("%d; give a number from 0 to %d", s.Replica.MaxFailures, maxFaults))
 	}
 	for i, seed := range s.Seeds {
 		out = append(out, addressViolation(fmt.Sprintf("seeds[%d]", i), seed)...)
@@ -166,8 +187,8 @@
 	case RoleGateway:
 		out = append(out, addressViolation("listen.callers", s.Listen.Callers)...)
 		out = append(out, addressViolation("listen.ready", s.Listen.Ready)...)
-		if s.Retry.Ratio < 0 || s.Retry.Burst < 0 {
-			add("retry", "ratio and slack must not be negative")
+		if !(s.Retry.Ratio >= 0 && s.Retry.Ratio <= maxRetries && s.Retry.Burst >= 0 && s.Retry.Burst <= maxRetries) {
+			add("retry", fmt.Sprintf("ratio and slack must not be negative and at most %d", maxRetries))
 		}
 	case RoleRegistry:
 		out = append(out, addressViolation("listen.registry", s.Listen.Registry)...)
