--- a/internal/api/strictjson/strictjson.go
+++ b/internal/api/strictjson/strictjson.go
@@ -45,7 +45,7 @@
 func (e *Error) Unwrap() error { return e.Err }
 
 // Decode decodes the one value that a text holds into v, like json.Unmarshal. Fields that v
-// does not have are ignored. The error is an *Error.
+// does not have are ignored. The error is an *Error; v must not be used then.
 func Decode(text []byte, v any) error { return decode(text, v, false) }
 
 // DecodeKnown is Decode for messages in which a field that v does not have is an error.
@@ -56,9 +56,6 @@
 	if err := json.Unmarshal(text, &whole); err != nil {
 		return &Error{Problem: err.Error(), Remedy: "send one whole JSON value", Err: err}
 	}
-	if err := inspect(text); err != nil {
-		return err
-	}
 	d := json.NewDecoder(bytes.NewReader(text))
 	if known {
 		d.DisallowUnknownFields()
@@ -66,7 +63,9 @@
 	if err := d.Decode(v); err != nil {
 		return fieldError(err)
 	}
-	return nil
+	// The types come first: the path of a field that has another type than v may hold a secret
+	// in place of a name.
+	return inspect(text)
 }
 
 // fieldError returns the error of a value that does not fit its field.
