--- a/internal/dispatch/upstream/client.go
+++ b/internal/dispatch/upstream/client.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"hawthornhub.example/hawthornhub/internal/api/strictjson"
 )
 
 const (
@@ -93,9 +95,9 @@
 	body := &io.LimitedReader{R: resp.Body}
 	d := json.NewDecoder(body)
 	for next := r.FirstChunk; ; {
-		var line Line
 		body.N = maxLineBytes
-		if err := d.Decode(&line); err != nil {
+		line, err := nextLine(d)
+		if err != nil {
 			return Line{}, &RunError{Started: true, Cause: err}
 		}
 		if line.ID != r.ID {
@@ -123,6 +125,19 @@
 	}
 }
 
+// nextLine reads the next line of an answer.
+func nextLine(d *json.Decoder) (Line, error) {
+	var text json.RawMessage
+	if err := d.Decode(&text); err != nil {
+		return Line{}, err
+	}
+	var line Line
+	if err := strictjson.Decode(text, &line); err != nil {
+		return Line{}, err
+	}
+	return line, nil
+}
+
 // isDialError reports whether no connection was established, so that nothing was
 // sent.
 func isDialError(err error) bool {
--- a/internal/dispatch/upstream/decode_test.go
+++ b/internal/dispatch/upstream/decode_test.go
@@ -48,6 +48,34 @@
 	})
 }
 
+// FuzzLine guards against a line of an answer that ends the agent, or that is accepted as another
+// one than the upstream sent.
+func FuzzLine(f *testing.F) {
+	f.Add(`{"id":"a1","seq":1,"data":"AAE="}`)
+	f.Add(`{"id":"a1","end":true,"chunks":2,"chunks":3}`)
+	f.Add("{\"id\":\"a1\",\"error\":\"caf\xe9\"}")
+	f.Fuzz(func(t *testing.T, text string) {
+		line, err := nextLine(json.NewDecoder(strings.NewReader(text)))
+		if err != nil {
+			return
+		}
+		again, err := nextLine(json.NewDecoder(strings.NewReader(encode(t, line))))
+		if err != nil || encode(t, again) != encode(t, line) {
+			t.Errorf("got %+v (%v), want %+v", again, err, line)
+		}
+	})
+}
+
+// TestLinesThatWouldBeChanged guards against a line whose fields occur twice, of which the last
+// ones would count.
+func TestLinesThatWouldBeChanged(t *testing.T) {
+	for _, text := range []string{`{"id":"a1","end":true,"chunks":2,"chunks":3}`, "{\"id\":\"a1\",\"error\":\"caf\xe9\"}"} {
+		if line, err := nextLine(json.NewDecoder(strings.NewReader(text))); err == nil {
+			t.Errorf("%q: got %+v, want an error", text, line)
+		}
+	}
+}
+
 func encode(t *testing.T, v any) string {
 	t.Helper()
 	b, err := json.Marshal(v)
