--- a/internal/api/caller/server.go
+++ b/internal/api/caller/server.go
@@ -16,7 +16,6 @@
 
 	"github.com/google/uuid"
 
-	"hawthornhub.example/hawthornhub/internal/api/strictjson"
 	"hawthornhub.example/hawthornhub/internal/fleet/control"
 	"hawthornhub.example/hawthornhub/internal/fleet/timeline"
 	"hawthornhub.example/hawthornhub/internal/serve/limit"
@@ -24,6 +23,7 @@
 	"hawthornhub.example/hawthornhub/internal/serve/refuse"
 	"hawthornhub.example/hawthornhub/internal/state/document"
 	"hawthornhub.example/hawthornhub/internal/state/ledger"
+	"hawthornhub.example/hawthornhub/internal/wire/strictjson"
 )
 
 // Headers of requests; X-Request-Id is a header of responses.
--- a/internal/api/operator/server.go
+++ b/internal/api/operator/server.go
@@ -14,13 +14,13 @@
 	"sync"
 	"time"
 
-	"hawthornhub.example/hawthornhub/internal/api/strictjson"
 	"hawthornhub.example/hawthornhub/internal/fleet/control"
 	"hawthornhub.example/hawthornhub/internal/fleet/link"
 	"hawthornhub.example/hawthornhub/internal/fleet/timeline"
 	"hawthornhub.example/hawthornhub/internal/fleet/watch"
 	"hawthornhub.example/hawthornhub/internal/state/document"
 	"hawthornhub.example/hawthornhub/internal/wire/fleetpb"
+	"hawthornhub.example/hawthornhub/internal/wire/strictjson"
 )
 
 const (
--- a/internal/dispatch/upstream/client.go
+++ b/internal/dispatch/upstream/client.go
@@ -11,7 +11,7 @@
 	"net/http"
 	"time"
 
-	"hawthornhub.example/hawthornhub/internal/api/strictjson"
+	"hawthornhub.example/hawthornhub/internal/wire/strictjson"
 )
 
 const (
--- a/internal/dispatch/upstream/decode.go
+++ b/internal/dispatch/upstream/decode.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"io"
 
-	"hawthornhub.example/hawthornhub/internal/api/strictjson"
+	"hawthornhub.example/hawthornhub/internal/wire/strictjson"
 )
 
 const (
