--- a/internal/api/caller/server.go
+++ b/internal/api/caller/server.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -22,6 +23,7 @@
 	"hawthornhub.example/hawthornhub/internal/serve/refuse"
 	"hawthornhub.example/hawthornhub/internal/state/document"
 	"hawthornhub.example/hawthornhub/internal/state/ledger"
+	"hawthornhub.example/hawthornhub/internal/wire/strictjson"
 )
 
 // Headers of requests; X-Request-Id is a header of responses.
@@ -165,11 +167,12 @@
 
 func (s *Server) decodeBody(w http.ResponseWriter, r *http.Request) (Body, error) {
 	var body Body
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
-	d.DisallowUnknownFields()
-	err := d.Decode(&body)
-	if err == nil && d.More() {
-		err = errors.New("more than one JSON value")
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
+	if err == nil && len(bytes.TrimSpace(text)) == 0 {
+		err = io.EOF
+	}
+	if err == nil {
+		err = strictjson.DecodeKnown(text, &body)
 	}
 	var large *http.MaxBytesError
 	switch {
--- a/internal/api/registry/server_test.go
+++ b/internal/api/registry/server_test.go
@@ -43,8 +43,9 @@
 	zones      atomic.Pointer[statepb.Evacuations]
 	// suspended is added to the clock of the server, in nanoseconds.
 	suspended atomic.Int64
-	// version is that of the site document that the entry has applied.
-	version atomic.Uint64
+	// version is that of the site document that the entry has applied, documents the number
+	// of those.
+	version, documents atomic.Uint64
 }
 
 func newInstance(t *testing.T) *instance {
@@ -80,7 +81,7 @@
 	}
 	i := &instance{address: address, hub: hub}
 	i.server = New(Config{
-		Hub: hub, Replica: r, Pool: pool, Decode: decode, Log: zap.NewNop(),
+		Hub: hub, Replica: r, Pool: pool, Decode: decode, DecodeStored: decodeStored, Log: zap.NewNop(),
 		Now: func() time.Duration { return watch.BootTime() + time.Duration(i.suspended.Load()) },
 	})
 	i.entry = watch.NewFollower(watch.FollowerConfig{
@@ -91,6 +92,7 @@
 		OnNews: func(*fleetpb.News) { time.Sleep(time.Duration(i.delay.Load())) },
 		OnDocument: func(a *statepb.Adopted) error {
 			i.version.Store(a.GetVersion())
+			i.documents.Add(1)
 			return nil
 		},
 		OnEvacuations: func(e *statepb.Evacuations) {
@@ -121,9 +123,24 @@
 	}
 }
 
-// decode takes every text for a document of version 7.
-func decode([]byte) (*site.Document, error) {
-	return &site.Document{Version: 7, Services: []site.Service{{Name: "s"}}}, nil
+// decode takes every text for a document of version 7, an empty one for version 0, and rejects
+// one that the decoder for committed documents accepts.
+func decode(text []byte) (*site.Document, error) {
+	if string(text) == "lax" || string(text) == "lax too" {
+		return nil, errors.New("too lax")
+	}
+	return decodeStored(text)
+}
+
+func decodeStored(text []byte) (*site.Document, error) {
+	if string(text) == "broken" {
+		return nil, errors.New("broken")
+	}
+	d := &site.Document{Version: 7, Services: []site.Service{{Name: "s"}}}
+	if len(text) == 0 {
+		d.Version = 0
+	}
+	return d, nil
 }
 
 func upstream(state catalog.State, seq uint64) catalog.Upstream {
@@ -181,3 +198,47 @@
 		t.Errorf("document: got error %v, want a *NoEntriesError", err)
 	}
 }
+
+// TestFirstDocumentOfVersionZeroIsStored guards against a first document that is acknowledged
+// and neither stored nor put in force because its version is 0.
+func TestFirstDocumentOfVersionZeroIsStored(t *testing.T) {
+	i := newInstance(t)
+	var none *NoDocumentError
+	if _, err := i.server.Document(context.Background()); !errors.As(err, &none) {
+		t.Errorf("got %v, want a NoDocumentError", err)
+	}
+	for range 2 {
+		if err := i.server.PutDocument(context.Background(), nil); err != nil {
+			t.Fatalf("put: %v", err)
+		}
+		if got, want := i.documents.Load(), uint64(1); got != want {
+			t.Errorf("the entry has put %d documents in force, want %d", got, want)
+		}
+	}
+	if _, err := i.server.Document(context.Background()); err != nil {
+		t.Errorf("read back: %v", err)
+	}
+}
+
+// TestCurrentDocumentIsAcknowledgedThoughRulesAreStricter guards against an operator who sends the
+// document in force again, as after an answer that was lost, and has it refused by rules that the
+// program did not have when it accepted the document; and against another document that gets by.
+func TestCurrentDocumentIsAcknowledgedThoughRulesAreStricter(t *testing.T) {
+	i := newInstance(t)
+	ctx := context.Background()
+	if _, err := i.server.propose(ctx, func() *statepb.Command { return &statepb.Command{Body: &statepb.Command_Adopt{Adopt: site.NewAdopt(7, []byte("lax"))}} }); err != nil {
+		t.Fatalf("propose: %v", err)
+	}
+	if err := i.server.PutDocument(ctx, []byte("lax")); err != nil {
+		t.Errorf("the document in force: got %v, want no error", err)
+	}
+	for _, text := range []string{"lax too", "broken"} {
+		var invalid *InvalidDocumentError
+		if err := i.server.PutDocument(ctx, []byte(text)); !errors.As(err, &invalid) {
+			t.Errorf("%s: got %v, want an InvalidDocumentError", text, err)
+		}
+	}
+	if got, err := i.server.Document(ctx); err != nil || string(got) != "lax" {
+		t.Errorf("got %q, %v, want the first document", got, err)
+	}
+}
