gateway, platform: a stopping entry judges streams by the tokens that they ask for

Change: the time until the first event and the time of a token are learned apart; a stream counts as its tokens at 2.5 times the longest recent time.

--- a/internal/api/gateway/gateway_test.go
+++ b/internal/api/gateway/gateway_test.go
@@ -42,10 +42,11 @@
 					a.Pieces = append(a.Pieces, v)
 				}
 			}
+			a.OutputTokens, _ = strconv.Atoi(h.Get("Tokens"))
 			return a, nil
 		},
 		ToUpstream: func(h http.Header, a UpstreamAttributes) http.Header {
-			out := http.Header{"Id": {h.Get("Id")}, "Account": {a.Account}, "Target": {a.Upstream}}
+			out := http.Header{"Id": {h.Get("Id")}, "Account": {a.Account}, "Target": {a.Upstream}, "Tokens": {h.Get("Tokens")}}
 			if a.LastEventID != "" {
 				out.Set("After", a.LastEventID)
 			}
--- a/internal/api/gateway/headers.go
+++ b/internal/api/gateway/headers.go
@@ -23,6 +23,8 @@
 	Key string
 	// Prompt lists the segments of the prompt in order.
 	Prompt []PromptSegment
+	// OutputTokens is the greatest number of tokens to generate, 0 if it is not known.
+	OutputTokens int
 	// Pieces is the number of pieces of each stage.
 	Pieces []int
 	// PieceKey is the key that upstreams get with the pieces of stages without
--- a/internal/api/gateway/response.go
+++ b/internal/api/gateway/response.go
@@ -179,8 +179,20 @@
 	}
 	q.server.cfg.Metrics.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("answered").Inc(1)
 	q.server.cfg.Metrics.Timer("answer").Record(time.Since(q.start))
-	q.server.durations.record(q.route.Name, time.Since(q.start))
-	q.server.sendDurations.record(q.route.Name, time.Since(q.start)-q.stagesTook)
+	q.recordDurations(time.Now())
 	q.server.cfg.Log.Info("request answered", q.fields(
 		zap.Int("status", status), zap.Duration("staged", q.stagesTook), zap.Int64("bytes", written))...)
 }
+
+// recordDurations records how long the whole request and its send took. A resumed stream
+// says nothing of the time of a token, as its events come from more than one send.
+func (q *request) recordDurations(now time.Time) {
+	e := elapsed{total: now.Sub(q.start)}
+	if q.attempts == 1 && !q.begunAt.IsZero() {
+		e.head, e.tokens = q.begunAt.Sub(q.start), q.OutputTokens
+	}
+	q.server.durations.record(q.route.Name, e)
+	e.total -= q.stagesTook
+	e.head = max(0, e.head-q.stagesTook)
+	q.server.sendDurations.record(q.route.Name, e)
+}
--- a/internal/api/gateway/stop_test.go
+++ b/internal/api/gateway/stop_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -213,6 +214,40 @@
 	}
 }
 
+// Guards against a long stream that is accepted during a stop because the streams of its route
+// were short so far: it is cut at the end of the grace period.
+func TestDrainRejectsStreamsOfMoreTokens(t *testing.T) {
+	const perToken = 10 * time.Millisecond
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		tokens, _ := strconv.Atoi(r.Header.Get("Tokens"))
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := range tokens {
+			fmt.Fprintf(w, "id: %d\ndata: piece\n\n", i+1)
+			w.(http.Flusher).Flush()
+			time.Sleep(perToken)
+		}
+	})
+	f := newFixture(t, document(), u.URL)
+	status := func(tokens string) int {
+		resp, _, err := f.call(t, "/stream/x", "Tokens", tokens)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp.StatusCode
+	}
+	for range 10 {
+		status("4")
+	}
+	f.Drain(time.Now().Add(10 * time.Second))
+	f.stopAt.Store(time.Now().Add(40 * perToken))
+	if got, want := status("80"), http.StatusServiceUnavailable; got != want {
+		t.Errorf("stream that takes twice the time that is left: status %d, want %d", got, want)
+	}
+	if got, want := status("4"), http.StatusOK; got != want {
+		t.Errorf("stream that ends in time: status %d, want %d", got, want)
+	}
+}
+
 // A request whose stages have taken so long that its stream would be cut is rejected
 // before it is sent, while that is still true.
 func TestDrainRejectsStreamsAfterSlowStages(t *testing.T) {
