gateway: no stage is given an input twice, or only some, because of an omitted stage

Cause: a stage without pieces passes its inputs on in place of results, and inputsFrom added them without leaving out those that the next stage, or the engine, has anyway. Beside it, where inputs of a stage had expired, only the omitted stage before it ran again and not the one whose results it passes on, so the stage got the same lost handles. And an omitted stage counted as done while the stage behind it ran again, so a stage could start without inputs.

Change: resultsOrigin lists the stages whose results arrive, each once. The inputs, their size and lifetime, the check that they exist and the choice of stages to run again all use it.

Tests: TestOmittedStagesRepeatNoInputs, TestLostInputsOfOmittedStageAreMadeAgain and TestStageWaitsForStagesBehindOmittedOne failed before the change (five of the eight shapes of the first).

--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -131,7 +131,7 @@
 			q.respond(ctx, w, response)
 			return
 		}
-		if !f.inputsExpired || !q.rerun(finalStages(q.route.Stages)) {
+		if !f.inputsExpired || !q.rerun(q.resultsOrigin(finalStages(q.route.Stages))) {
 			q.server.writeFailure(w, q, f)
 			return
 		}
--- a/internal/api/gateway/stages.go
+++ b/internal/api/gateway/stages.go
@@ -139,15 +139,6 @@
 	}
 }
 
-func (q *request) inputsReady(stage int) bool {
-	for _, dep := range q.route.Stages[stage].DependsOn {
-		if !q.stages[dep].done {
-			return false
-		}
-	}
-	return true
-}
-
 // newJob returns the batcher.Job of a stage, false if it has no pieces.
 func (r *stageRun) newJob(i int) (batcher.Job, bool) {
 	stage := r.route.Stages[i]
@@ -184,50 +175,6 @@
 	return job, true
 }
 
-// inputsFrom returns the results of the given stages. A stage without pieces is
-// skipped: its own inputs take the place of its results.
-func (q *request) inputsFrom(stages []int) []string {
-	var out []string
-	for _, i := range stages {
-		if q.pieceCount(i) == 0 {
-			out = append(out, q.inputsFrom(q.route.Stages[i].DependsOn)...)
-			continue
-		}
-		out = append(out, q.stages[i].handles...)
-	}
-	return out
-}
-
-// inputBytes is the total size of the results that inputsFrom returns for the
-// same stages.
-func (q *request) inputBytes(stages []int) int64 {
-	total := int64(0)
-	for _, i := range stages {
-		if q.pieceCount(i) == 0 {
-			total += q.inputBytes(q.route.Stages[i].DependsOn)
-			continue
-		}
-		total += int64(len(q.stages[i].handles)) * q.route.Stages[i].ResultBytes
-	}
-	return total
-}
-
-// inputsTTL is the time until the first of the results that inputsFrom returns for the
-// same stages expires, 0 if it is not known.
-func (q *request) inputsTTL(stages []int) time.Duration {
-	shortest := time.Duration(0)
-	for _, i := range stages {
-		left := q.resultTTL(i)
-		if q.pieceCount(i) == 0 {
-			left = q.inputsTTL(q.route.Stages[i].DependsOn)
-		}
-		if left > 0 && (shortest == 0 || left < shortest) {
-			shortest = left
-		}
-	}
-	return shortest
-}
-
 // resultTTL is the time until the first result of a stage expires, 0 if it is not known.
 func (q *request) resultTTL(stage int) time.Duration {
 	s, ok := q.index.Service(q.route.Stages[stage].Service)
@@ -297,7 +244,7 @@
 		}
 		r.server.cfg.Log.Info("stage failed", r.fields(
 			zap.Int("stage", e.stage), zap.String("service", stage.Service), zap.Bool("inputs_gone", result.InputsGone), zap.Error(result.Err))...)
-		if result.InputsGone && r.rerun(append([]int{e.stage}, stage.DependsOn...)) {
+		if result.InputsGone && r.rerun(append(r.resultsOrigin(stage.DependsOn), e.stage)) {
 			return nil
 		}
 		return unavailable(fmt.Sprintf("stage %d failed", e.stage), defaultRetryAfter)
