transport, batcher: an answer without an ID is told by its results or ends its connection

Cause: answers to calls with pieces and to releases bear no ID. Any answer was taken for the one due, and only one with a handle seen before was recognized as a second copy. A late copy of an answer without results, of one to a release or of one with a status other than 200 moved all later answers of the connection by one.

Change: a request without an ID is either Marked, and its answer is told by marks (the handles), or has its connection for itself. A connection serves another call only after an answer with new marks; it remembers all marks and request IDs that it has carried and is given up at 1,024. Before, it remembered 32 IDs, and a rejection was taken for the answer to the same request sent again after 40 others. An answer that gives two pieces one result is refused. Requests with an ID, calls and releases share no connections.

Each call without a result now costs a connection: more than 10 at once and 20 a second at one upstream are spaced. Each release costs one: more than 10 at once and 50 a second at one upstream are put together. The bounds are separate code without a clock. The gauge upstream_answers_unmarked counts the answers whose connections were given up.

Tests: TestLateCopyIsTakenForAnswerToNextCall failed before (4 of 20 cases). TestLateCopyIsTakenForAnswerToAnotherRequest, TestKindsShareNoConnection, TestConnectionIsGivenUpBeforeItForgets and TestAnswerWithIDIsNotForRequestWithout were tried against six mistakes planted in a working copy; each was caught by one. Without the spacing, TestConnectionsToFailingUpstreamAreBounded saw 2,536 connections in 0.6 s.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -451,6 +451,7 @@
 	scope.Gauge("requests_open").Update(float64(g.server.InFlight()))
 	scope.Gauge("upstream_connections").Update(float64(open))
 	scope.Gauge("upstream_dials").Update(float64(dialled))
+	scope.Gauge("upstream_answers_unmarked").Update(float64(g.transport.Unmarked()))
 	scope.Gauge("control_connected").Update(float64(g.follower.Load().ConnectedCount()))
 	received := g.follower.Load().Received()
 	scope.Gauge("news_received").Update(float64(received.Messages))
--- a/internal/dispatch/batcher/batcher_test.go
+++ b/internal/dispatch/batcher/batcher_test.go
@@ -61,7 +61,7 @@
 	connections atomic.Int64
 }
 
-func newFakeUpstream(t *testing.T) *fakeUpstream {
+func newFakeUpstream(t testing.TB) *fakeUpstream {
 	u := &fakeUpstream{}
 	u.Server = httptest.NewUnstartedServer(u)
 	u.Config.ConnState = func(_ net.Conn, s http.ConnState) {
@@ -129,7 +129,7 @@
 	return append(calls, u.calls...), append(released, u.released...)
 }
 
-func newOwner(t *testing.T, memory int64, fakes ...*fakeUpstream) *Owner {
+func newOwner(t testing.TB, memory int64, fakes ...*fakeUpstream) *Owner {
 	t.Helper()
 	pool := transport.NewPool(transport.Config{
 		Classify: func(_ int, h http.Header) transport.Reply {
@@ -181,7 +181,7 @@
 	return completed
 }
 
-func eventually(t *testing.T, what string, ok func() bool) {
+func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for until := time.Now().Add(waitLimit); !ok(); time.Sleep(2 * time.Millisecond) {
 		if time.Now().After(until) {
--- a/internal/dispatch/batcher/call.go
+++ b/internal/dispatch/batcher/call.go
@@ -68,6 +68,7 @@
 	if err != nil {
 		return nil, &callError{err: err}
 	}
+	request.Marked = true
 	switch o := d.owner.cfg.Send(ctx, t, request).(type) {
 	case transport.NotSent:
 		var closed *backoff.ClosedError
@@ -84,7 +85,8 @@
 }
 
 // readOutputs reads an answer, which must have n outputs and no result of an
-// earlier call.
+// earlier call. Its results are the marks that tell it from other answers: without any, its
+// connection is given up.
 func (d *dispatcher) readOutputs(id string, o *transport.Answered, n int) ([]Output, *callError) {
 	defer o.Close()
 	body, err := io.ReadAll(io.LimitReader(o.Body, maxAnswerBytes))
@@ -99,13 +101,12 @@
 		return nil, &callError{err: err}
 	}
 	if len(outputs) != n {
-		o.Discard()
 		return nil, &callError{err: fmt.Errorf("the answer has %d outputs for %d pieces", len(outputs), n)}
 	}
 	d.mu.Lock()
 	isNew := d.upstream(id).handles.addNew(time.Now(), outputs)
 	d.mu.Unlock()
-	if !isNew {
+	if !isNew || !o.Identify(resultsOf(outputs)) {
 		// The answer to this call may still arrive on the connection, which
 		// therefore cannot be reused.
 		o.Discard()
@@ -146,6 +147,7 @@
 	} else {
 		unneeded = d.recordOutputs(now, s, batch, outputs)
 	}
+	d.pause(now, u.ID, s, outputs)
 	d.dispatch(now)
 	return unneeded
 }
@@ -224,8 +226,8 @@
 	errInputsGone       = errors.New("an input of the pieces no longer exists")
 	errNoMemory         = errors.New("no upstream has memory for the results")
 	errPieceFailed      = errors.New("the upstream failed the piece")
-	// errDuplicateAnswer reports an answer with results of an earlier call.
-	errDuplicateAnswer = errors.New("the answer is a second one to an earlier call")
+	// errDuplicateAnswer reports an answer with results of an earlier call, or one twice.
+	errDuplicateAnswer = errors.New("the answer holds a result of an earlier call, or one twice")
 )
 
 // handleReason retries a piece that the upstream did not run, or fails its job.
@@ -249,24 +251,6 @@
 	return nil
 }
 
-// release releases results at the upstreams that hold them.
-func (o *Owner) release(s shard, handles []string) {
-	if len(handles) == 0 {
-		return
-	}
-	for u, held := range o.byHolder(s, handles) {
-		if o.ctx.Err() != nil {
-			return
-		}
-		o.wg.Add(1)
-		go func() {
-			defer o.wg.Done()
-			o.sendRelease(u, held)
-			o.recordRelease(s, u.ID, held)
-		}()
-	}
-}
-
 // byHolder sorts results by the upstream that holds them. It leaves out those of upstreams
 // that take no releases.
 func (o *Owner) byHolder(s shard, handles []string) map[catalog.Upstream][]string {
@@ -312,7 +296,7 @@
 		o.cfg.Log.Error("cannot encode release of results", zap.Error(err))
 		return
 	}
-	request.Cleanup, request.Close = true, u.State != catalog.Ready
+	request.Cleanup = true
 	answered, ok := o.cfg.Send(ctx, t, request).(*transport.Answered)
 	if !ok {
 		o.cfg.Log.Debug("results not released; they will expire", zap.String("upstream", t.ID), zap.Int("results", len(handles)))
--- a/internal/dispatch/batcher/duplicate.go
+++ b/internal/dispatch/batcher/duplicate.go
@@ -9,27 +9,37 @@
 // handleHistory remembers the handles that an upstream has answered with, to
 // detect duplicate answers. Answers to calls with pieces carry no call ID, so a
 // second answer to an earlier call, received where the next answer is due, can
-// be recognized only by its handles.
+// be recognized only by its handles. The connection recognizes copies that come on it
+// (transport.Answered.Identify), however late; the history also recognizes those that come
+// on another connection.
 type handleHistory struct {
 	handles map[string]time.Time
 	pruned  time.Time
 }
 
 // addNew records the handles of outputs and returns true, or returns false if
-// one of them was answered before.
+// one of them was answered before or comes twice.
 func (h *handleHistory) addNew(now time.Time, outputs []Output) bool {
 	h.prune(now)
-	for _, o := range outputs {
-		if _, known := h.handles[o.Handle]; known && o.Handle != "" {
-			return false
+	isNew := true
+	for _, handle := range resultsOf(outputs) {
+		if _, known := h.handles[handle]; known {
+			isNew = false
 		}
+		h.handles[handle] = now
 	}
+	return isNew
+}
+
+// resultsOf returns the handles of the outputs that have one.
+func resultsOf(outputs []Output) []string {
+	var out []string
 	for _, o := range outputs {
 		if o.Handle != "" {
-			h.handles[o.Handle] = now
+			out = append(out, o.Handle)
 		}
 	}
-	return true
+	return out
 }
 
 func (h *handleHistory) prune(now time.Time) {
--- a/internal/dispatch/batcher/owner.go
+++ b/internal/dispatch/batcher/owner.go
@@ -67,6 +67,7 @@
 	cancel      context.CancelFunc
 	mu          sync.Mutex
 	dispatchers map[shard]*dispatcher
+	releases    releases
 	wg          sync.WaitGroup
 }
 
@@ -117,6 +118,10 @@
 	learnedAt time.Time
 	// handles detects duplicate answers.
 	handles handleHistory
+	// lostConnections bounds the rate of calls that each cost a connection.
+	lostConnections pace
+	// pauseLogged is when pause last logged.
+	pauseLogged time.Time
 }
 
 // NewOwner returns an Owner without jobs.
--- a/internal/dispatch/transport/conn.go
+++ b/internal/dispatch/transport/conn.go
@@ -46,7 +46,9 @@
 	br   *bufio.Reader
 	// requests is the number of requests sent on the connection.
 	requests int
-	// carried holds the last of them.
+	// identity is that of all requests on the connection.
+	identity identity
+	// carried tells second copies of their answers.
 	carried carried
 	// expires is when the connection is no longer reused if idle, because the
 	// upstream may be about to close it.
--- a/internal/dispatch/transport/doc.go
+++ b/internal/dispatch/transport/doc.go
@@ -6,9 +6,16 @@
 // are pooled by the ID of the upstream, so that a new upstream at the address of
 // an earlier one gets new connections. A connection is closed instead of reused
 // if data arrived on it while idle, if its answer came before the request was
-// fully written, or if data followed the answer. A request that is sent again gets a
-// connection that has not carried it: on another one, a late second copy of its first
-// answer would bear its ID.
+// fully written, or if data followed the answer.
+//
+// No answer is matched to the wrong request, although an upstream may send a second copy of
+// an answer on its connection, seconds later and where another answer is due. Answers are
+// told apart by the ID of the request, or by marks in the answer that no other one has
+// (Request.Marked, Answered.Identify). Requests of the two kinds share no connection. A
+// connection knows all IDs and marks that it has carried, and is given up at maxCarried. A
+// request that is sent again gets a connection that has not carried its ID. An answer
+// without an ID and without marks is the last one on its connection, and a request whose
+// answer has neither gets a connection of its own.
 //
 // Config.Permit and Request.Permit are asked right before a request is written, when the
 // time that the choice of the upstream and a new connection took has passed.
--- a/internal/dispatch/transport/outcome.go
+++ b/internal/dispatch/transport/outcome.go
@@ -24,8 +24,12 @@
 
 // Request is an HTTP request.
 type Request struct {
-	// ID identifies the request. The answer must carry the same ID.
-	ID     string
+	// ID identifies the request. The answer must carry the same ID. A request with neither
+	// an ID nor Marked gets a connection of its own.
+	ID string
+	// Marked is set for a request without an ID whose answer holds marks that no other
+	// answer has, see Answered.Identify.
+	Marked bool
 	Method string
 	// URI is the path and query as the caller sent them.
 	URI    string
@@ -37,8 +41,6 @@
 	Permit func() error
 	// Cleanup is set for requests that free what earlier ones left at the upstream.
 	Cleanup bool
-	// Close closes the connection after the answer.
-	Close bool
 }
 
 // Reply is the information in the status and headers of an answer.
@@ -72,6 +74,9 @@
 	// Body ends with io.EOF only if the answer is complete.
 	Body    io.Reader
 	release func(keep bool)
+	// carried is that of the connection. marked is set once Identify has found marks.
+	carried *carried
+	marked  bool
 }
 
 // Rejected is an answer which states that the upstream did not run the request.
--- a/internal/dispatch/transport/pool.go
+++ b/internal/dispatch/transport/pool.go
@@ -53,6 +53,7 @@
 	upstreams map[string]*upstreamConns
 	closed    bool
 	dialed    int64
+	unmarked  int64
 	done      chan struct{}
 	wg        sync.WaitGroup
 }
@@ -97,12 +98,12 @@
 	u.idle = nil
 }
 
-// takeIdle returns the idle connection used last that has not carried a request with the
-// given ID, or nil. It closes those that cannot be used any more.
-func (u *upstreamConns) takeIdle(id string) *conn {
+// takeIdle returns the idle connection used last that fits a request, or nil. It closes
+// those that cannot be used any more.
+func (u *upstreamConns) takeIdle(r Request) *conn {
 	for i := len(u.idle) - 1; i >= 0; i-- {
 		c := u.idle[i]
-		if c.carried.has(id) {
+		if !c.fits(r) {
 			continue
 		}
 		u.idle = slices.Delete(u.idle, i, i+1)
@@ -127,16 +128,16 @@
 	return true
 }
 
-// acquire returns an idle connection that has not carried a request with the given ID, or
-// nil after reserving one of the connections of the upstream for the caller to dial.
-func (p *Pool) acquire(t Target, id string) (*conn, *upstreamConns, error) {
+// acquire returns an idle connection that fits a request, or nil after reserving one of the
+// connections of the upstream for the caller to dial.
+func (p *Pool) acquire(t Target, r Request) (*conn, *upstreamConns, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, nil, errClosed
 	}
 	u := p.upstream(t)
-	if c := u.takeIdle(id); c != nil {
+	if c := u.takeIdle(r); c != nil {
 		return c, u, nil
 	}
 	if t.MaxConnections > 0 && u.open >= t.MaxConnections && !u.closeOneIdle() {
@@ -148,8 +149,8 @@
 }
 
 // get returns an idle or a new connection for a request.
-func (p *Pool) get(ctx context.Context, t Target, id string) (*conn, *upstreamConns, error) {
-	c, u, err := p.acquire(t, id)
+func (p *Pool) get(ctx context.Context, t Target, r Request) (*conn, *upstreamConns, error) {
+	c, u, err := p.acquire(t, r)
 	if err != nil || c != nil {
 		return c, u, err
 	}
@@ -160,6 +161,7 @@
 		p.mu.Unlock()
 		return nil, nil, err
 	}
+	c.identity = r.identity()
 	return c, u, nil
 }
 
@@ -168,7 +170,7 @@
 func (p *Pool) release(c *conn, u *upstreamConns, keep bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if keep && !p.closed && p.upstreams[c.target.ID] == u && c.br.Buffered() == 0 {
+	if keep && !p.closed && p.upstreams[c.target.ID] == u && c.br.Buffered() == 0 && !c.carried.full() {
 		u.idle = append(u.idle, c)
 		return
 	}
@@ -196,6 +198,24 @@
 	return open, p.dialed
 }
 
+// Unmarked returns the number of answers so far, to requests with Request.Marked, whose
+// connections were given up as a second copy of the answer could not be told.
+func (p *Pool) Unmarked() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unmarked
+}
+
+// countUnmarked counts the end of an answer for Unmarked.
+func (p *Pool) countUnmarked(r Request, marked bool) {
+	if r.identity() != byMarks || marked {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unmarked++
+}
+
 func (p *Pool) expireLoop() {
 	defer p.wg.Done()
 	t := time.NewTicker(expiryInterval)
--- a/internal/dispatch/transport/send.go
+++ b/internal/dispatch/transport/send.go
@@ -53,7 +53,7 @@
 			return NotSent{Err: err, Local: true}
 		}
 	}
-	c, u, err := p.get(ctx, t, r.ID)
+	c, u, err := p.get(ctx, t, r)
 	if err != nil {
 		return NotSent{Err: err}
 	}
@@ -128,6 +128,9 @@
 		}
 		x.pool.cfg.Log.Warn("answer to another request dropped",
 			zap.String("request", x.request.ID), zap.String("upstream", x.conn.target.ID), zap.String("other", reply.ID))
+		if x.request.identity() != byID {
+			break
+		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes))
 		if err != nil || n == maxDiscardBytes || resp.Close {
 			return x.fail(stop, errors.Join(errors.New("the connection held an answer to another request"), err))
@@ -195,16 +198,17 @@
 
 // outcome returns the outcome of a matching response.
 func (x *exchange) outcome(stop func() bool, resp *http.Response, reply Reply) Outcome {
-	keep := !resp.Close && !x.request.Close && x.checkWritten()
+	keep := !resp.Close && x.checkWritten()
 	x.conn.updateIdleTimeout(resp.Header)
 	if reply.NotExecuted {
-		complete := x.discardRejection(resp)
+		complete := x.accounted(false) && x.discardRejection(resp)
 		stopped := stop()
+		x.pool.countUnmarked(x.request, false)
 		x.pool.release(x.conn, x.upstream, keep && complete && stopped)
 		return Rejected{Status: resp.StatusCode, Reply: reply}
 	}
 	body := &body{Reader: resp.Body}
-	return &Answered{
+	a := &Answered{
 		Status: resp.StatusCode,
 		Header: resp.Header,
 		Length: resp.ContentLength,
@@ -212,11 +216,14 @@
 		Body:   body,
 
 		Unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
-		release: func(reuse bool) {
-			stopped := stop()
-			x.pool.release(x.conn, x.upstream, reuse && keep && body.complete.Load() && stopped && x.checkWritten())
-		},
+		carried:  &x.conn.carried,
+	}
+	a.release = func(reuse bool) {
+		stopped := stop()
+		x.pool.countUnmarked(x.request, a.marked)
+		x.pool.release(x.conn, x.upstream, reuse && keep && body.complete.Load() && stopped && x.checkWritten() && x.accounted(a.marked))
 	}
+	return a
 }
 
 // discardRejection reads the body of a rejection, and reports whether it is complete.
@@ -232,8 +239,9 @@
 	return x.conn.SetReadDeadline(time.Time{}) == nil
 }
 
-// Close returns the connection to the pool if the body was read to its end.
-// Otherwise it closes the connection, which tells the upstream to stop.
+// Close returns the connection to the pool if the body was read to its end and a second copy
+// of the answer would be recognized, see Identify. Otherwise it closes the connection, which
+// tells the upstream to stop.
 func (a *Answered) Close() { a.end(true) }
 
 // Discard closes the connection. It is used if the answer proves to belong to
--- a/internal/dispatch/transport/transport_test.go
+++ b/internal/dispatch/transport/transport_test.go
@@ -97,14 +97,19 @@
 }
 
 func newPool(t *testing.T) *Pool {
-	p := NewPool(Config{
+	p := newPoolWithoutTest()
+	t.Cleanup(func() { p.Close() })
+	return p
+}
+
+// newPoolWithoutTest returns a pool that the caller closes.
+func newPoolWithoutTest() *Pool {
+	return NewPool(Config{
 		Classify: func(status int, h http.Header) Reply {
 			return Reply{ID: h.Get("Id"), NotExecuted: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
 		},
 		Log: zap.NewNop(),
 	})
-	t.Cleanup(func() { p.Close() })
-	return p
 }
 
 func (s *scriptedUpstream) target() Target { return Target{ID: "u1", Address: s.address} }
