--- a/internal/dispatch/batcher/owner.go
+++ b/internal/dispatch/batcher/owner.go
@@ -67,6 +67,7 @@
 	cancel      context.CancelFunc
 	mu          sync.Mutex
 	dispatchers map[shard]*dispatcher
+	releases    releases
 	wg          sync.WaitGroup
 }
 
@@ -125,6 +126,10 @@
 	learnedAt time.Time
 	// handles detects duplicate answers.
 	handles handleHistory
+	// lostConnections bounds the rate of calls that each cost a connection.
+	lostConnections spacing
+	// pauseLogged is when pause last logged.
+	pauseLogged time.Time
 }
 
 // NewOwner returns an Owner without jobs.
