raft: the rule for asking to join is part of the state of a node

The joinLoop of a replica and the model test must use the same rule, so that the test can find an instance that never asks. No behaviour changes.

--- a/internal/fleet/replica/peers.go
+++ b/internal/fleet/replica/peers.go
@@ -131,7 +131,7 @@
 func (r *Replica) joinLoop() {
 	defer r.wg.Done()
 	for {
-		if s := r.Status(); s.LastIndex == 0 || !isMember(s) {
+		if s := r.Status(); s.WantsToJoin() {
 			r.joinOrBootstrap(s)
 		}
 		select {
@@ -142,11 +142,6 @@
 	}
 }
 
-func isMember(s Status) bool {
-	_, ok := s.Voters.GetNames()[s.ID]
-	return ok
-}
-
 // joinOrBootstrap sends a hello to every peer. If all peers with a disk replied
 // that they have no log, the one with the lowest name bootstraps the fleet.
 // Otherwise it also sends a hello to the discovered instances; whichever is the
--- a/internal/state/raft/node.go
+++ b/internal/state/raft/node.go
@@ -293,6 +293,15 @@
 	}
 }
 
+// IsMember reports whether the replica is a voter or a learner by its own log.
+func (s State) IsMember() bool {
+	_, ok := s.Voters.GetNames()[s.ID]
+	return ok
+}
+
+// WantsToJoin reports whether the replica should ask the leader to add it.
+func (s State) WantsToJoin() bool { return s.LastIndex == 0 || !s.IsMember() }
+
 // RecentlyActive reports whether this leader received an append reply from a peer
 // within the minimum election timeout. A peer that the leader began to replicate
 // to within that time also counts as active.
