raft: a change of voters leaves a quorum that bears the next allowed loss

Two faults of the same class. A learner became a voter beside a stopped one, so the group needed three of four, and the next loss left no leader for good. A voter that was paused for long was removed, is a voter by its own log, and never asked to be added again.

The group now aims for exactly TargetVoters; further replicas stay learners. A silent voter is demoted first and a ready learner promoted then, which never needs more live voters. A voter that leaves (input Leave) takes part until its replacement votes, and this waits while another voter is silent. A replica that knows no leader asks to join. A forced vote request of a replica that is not a voter does not end the term of an active leader.

TestVotersUnderAllowedLosses is a model with at most the allowed losses at a time.

TestClusterUnderFaults now draws a target, leaves and replacements. Its hosts ask to join by the rule of the replica, where all were asked to before, which is stricter. With a target, other faults end before a disk is lost: a silent voter counts as lost there.

During development it found that a leaving voter must wait for a silent one.

--- a/internal/state/raft/election.go
+++ b/internal/state/raft/election.go
@@ -45,8 +45,8 @@
 	if n.heartbeatElapsed >= n.cfg.HeartbeatTicks {
 		n.heartbeat()
 	}
-	n.promoteLearner()
-	n.removeSurplusVoter()
+	n.expireLeaving()
+	n.changeVoters()
 }
 
 // becomeFollower enters a term as a follower; leader 0 is unknown. A former
@@ -70,7 +70,7 @@
 	if wasLeader {
 		n.rejectReads()
 		n.emit(ProposalsDropped{Nonces: n.uncommittedNonces()})
-		n.peers = nil
+		n.peers, n.leaving = nil, nil
 	}
 }
 
@@ -154,6 +154,7 @@
 	n.electionElapsed = 0
 	n.heartbeatElapsed = 0
 	n.peers = make(map[uint64]*progress)
+	n.leaving = make(map[uint64]int)
 	n.updatePeers()
 	n.appendAsLeader([]*statepb.Entry{{}})
 }
@@ -223,14 +224,14 @@
 }
 
 // startTransfer begins a leadership transfer to the voter with the most
-// complete log among those recently active.
+// complete log among those recently active that do not leave.
 func (n *Node) startTransfer() {
 	if n.role != Leader {
 		return
 	}
 	target := uint64(0)
 	for _, id := range n.voters.GetVoters() {
-		if id == n.cfg.ID || !n.RecentlyActive(id) {
+		if id == n.cfg.ID || !n.RecentlyActive(id) || n.leaving[id] > 0 {
 			continue
 		}
 		if target == 0 || n.peers[id].match > n.peers[target].match {
--- a/internal/state/raft/input.go
+++ b/internal/state/raft/input.go
@@ -26,6 +26,10 @@
 	ID   uint64
 }
 
+// Leave asks the leader to replace a member that is about to stop. It is repeated until
+// the member has been removed or stops anyway.
+type Leave struct{ ID uint64 }
+
 // TransferLeadership asks the leader to transfer leadership to the voter whose
 // log is the most up to date.
 type TransferLeadership struct{}
@@ -42,5 +46,6 @@
 func (Propose) isInput()            {}
 func (ReadIndex) isInput()          {}
 func (Join) isInput()               {}
+func (Leave) isInput()              {}
 func (TransferLeadership) isInput() {}
 func (Compact) isInput()            {}
--- a/internal/state/raft/node.go
+++ b/internal/state/raft/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 
 	"hawthornhub.example/hawthornhub/internal/wire/statepb"
@@ -92,11 +93,12 @@
 	StartupElectionTicks int
 	// HeartbeatTicks is the number of ticks between heartbeats.
 	HeartbeatTicks int
-	// TargetVoters is the number of voters above which the leader removes
-	// unresponsive ones; 0 never removes any.
+	// TargetVoters is the number of voters that the leader aims for, an odd number.
+	// Further replicas stay learners and replace lost or leaving voters. With 0, all
+	// replicas become voters, and silent ones are never replaced.
 	TargetVoters int
 	// VoterRemovalTicks is the number of ticks without an append reply from a
-	// voter after which the leader may remove it.
+	// voter after which the leader replaces it if a learner is ready.
 	VoterRemovalTicks int
 	// Jitter returns a number in [0, n) that randomizes election timeouts; nil
 	// disables randomization.
@@ -216,6 +218,10 @@
 	// transferTicksLeft is the number of ticks until the transfer is abandoned.
 	transferTicksLeft int
 
+	// leaving holds the members that have asked this leader to leave, with the ticks
+	// until the request expires.
+	leaving map[uint64]int
+
 	// effects collects the effects of the current Step.
 	effects []Effect
 }
@@ -254,6 +260,8 @@
 		n.readIndex(in.ID)
 	case Join:
 		n.join(in)
+	case Leave:
+		n.leave(in.ID)
 	case TransferLeadership:
 		n.startTransfer()
 	case Compact:
@@ -276,7 +284,13 @@
 	Leader    uint64
 	Commit    uint64
 	LastIndex uint64
-	Voters    *statepb.Voters
+	// Voters is the newest membership in the log, VotersIndex its index, and
+	// VotersCommitted is set if it is committed.
+	Voters          *statepb.Voters
+	VotersIndex     uint64
+	VotersCommitted bool
+	// HasSuccessor is set on a leader that may be able to replace a leaving voter.
+	HasSuccessor bool
 }
 
 // State returns the current state.
@@ -290,6 +304,10 @@
 		Commit:    n.commitIndex,
 		LastIndex: n.lastIndex(),
 		Voters:    n.voters,
+
+		VotersIndex:     n.votersIndex,
+		VotersCommitted: n.votersIndex <= n.commitIndex,
+		HasSuccessor:    n.hasSuccessor(),
 	}
 }
 
@@ -299,8 +317,13 @@
 	return ok
 }
 
-// WantsToJoin reports whether the replica should ask the leader to add it.
-func (s State) WantsToJoin() bool { return s.LastIndex == 0 || !s.IsMember() }
+// IsVoter reports whether id is a voter by the log of the replica.
+func (s State) IsVoter(id uint64) bool { return slices.Contains(s.Voters.GetVoters(), id) }
+
+// WantsToJoin reports whether the replica should ask the leader to add it. A replica
+// that knows no leader asks too: it may have been removed, which its own log does not
+// tell it. The leader ignores the request of a member.
+func (s State) WantsToJoin() bool { return s.LastIndex == 0 || !s.IsMember() || s.Leader == 0 }
 
 // RecentlyActive reports whether this leader received an append reply from a peer
 // within the minimum election timeout. A peer that the leader began to replicate
--- a/internal/state/raft/replicate.go
+++ b/internal/state/raft/replicate.go
@@ -51,12 +51,13 @@
 
 // checkTerm compares the term of a message with the current one, adopts a newer
 // term, and reports whether the message should be handled. A vote request does
-// not take effect while a leader is active, unless it is forced. A leader of an
-// older term gets a rejection, from which it learns the newer term.
+// not take effect while a leader is active, unless a voter was told by the leader to
+// take over. A replica that was removed meanwhile must not end the leader's term. A
+// leader of an older term gets a rejection, from which it learns the newer term.
 func (n *Node) checkTerm(m *statepb.Message) bool {
 	isVote := m.Kind == statepb.MessageKind_MESSAGE_KIND_VOTE
 	if m.Term > n.term {
-		if isVote && !m.Forced && n.leaderActive() {
+		if isVote && n.leaderActive() && (!m.Forced || !n.isVoter(m.From)) {
 			return false
 		}
 		n.becomeFollower(NewerTerm, m.Term, 0)
