replica, registry: an instance that stops as planned leaves the voters first

A registry that stopped remained a voter until it had been silent for 5 s, in which the group could bear no loss. It now asks the leader to replace it (Hello with leaving) and takes part until it is replaced, nobody can replace it, or 3 s have passed. A silent voter is replaced after 1.5 s where it was 5 s: another instance may be lost 4 s after the start of its successor. An instance that knows no leader sends hellos, so that one that was removed comes back.

New: the log lines "leave the voters" and "members of the log", the gauge "learners", the fields Hello.leaving and HelloReply.leave. Old programs ignore them; a stop under an old leader ends after the 3 s.

--- a/cmd/hawthornhub/registry.go
+++ b/cmd/hawthornhub/registry.go
@@ -34,6 +34,9 @@
 	// registrySnapshotEntries is the number of Raft log entries between
 	// snapshots. Each site document is one entry.
 	registrySnapshotEntries = 64
+	// leaveTimeout is the maximum time that a stopping registry waits until another
+	// one votes in its place. It covers the election of another leader.
+	leaveTimeout = 3 * time.Second
 )
 
 // emptyDocument is the initial configuration document of a registry's replica.
@@ -173,6 +176,7 @@
 	scope.Gauge("commit_index").Update(float64(status.Commit))
 	scope.Gauge("syncs").Update(float64(status.Syncs))
 	scope.Gauge("voters").Update(float64(len(status.Voters.GetVoters())))
+	scope.Gauge("learners").Update(float64(len(status.Voters.GetLearners())))
 	news := p.hub.Stats()
 	scope.Gauge("watchers").Update(float64(news.Watchers))
 	scope.Gauge("watchers_behind").Update(float64(news.Behind))
@@ -260,12 +264,16 @@
 	}
 }
 
-// stop transfers leadership to another instance and closes everything.
+// stop transfers leadership to another instance, leaves the voters and closes
+// everything.
 func (p *registryProcess) stop(ctx context.Context) error {
 	r := p.replica.Load()
 	transferCtx, cancel := context.WithTimeout(ctx, leaderTransferTimeout)
 	defer cancel()
 	r.TransferLeadership(transferCtx)
+	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
+	defer cancelLeave()
+	r.Leave(leaveCtx)
 	err := errors.Join(p.http.Shutdown(ctx), p.server.Load().Close(), p.follower.Load().Close(), p.hub.Close(), p.linkServer.Close(), r.Close(), p.replicaPool.Close())
 	p.system.Shutdown()
 	p.close()
--- a/internal/fleet/replica/actor.go
+++ b/internal/fleet/replica/actor.go
@@ -75,6 +75,8 @@
 	// Config.OnEvacuations.
 	notifiedEvacuations uint64
 	lastRole            raft.Role
+	// loggedVoters is the log index of the membership that was logged last.
+	loggedVoters uint64
 	// peerNames maps the disk identities of senders to instance names. A replica
 	// with an empty log has no other source for them.
 	peerNames map[uint64]string
@@ -480,6 +482,10 @@
 		a.cfg.Log.Info("role", zap.Stringer("role", state.Role), zap.Stringer("cause", state.Cause), zap.Uint64("term", state.Term))
 		a.lastRole = state.Role
 	}
+	if state.VotersCommitted && state.VotersIndex != a.loggedVoters {
+		a.loggedVoters = state.VotersIndex
+		a.logMembers(state)
+	}
 }
 
 func (a *stateActor) publishDocument(state raft.State) {
--- a/internal/fleet/replica/peers.go
+++ b/internal/fleet/replica/peers.go
@@ -127,11 +127,11 @@
 }
 
 // joinLoop contacts the peers until this instance has a log and is a member of
-// the fleet, and again whenever it no longer is one.
+// the fleet, and again whenever it no longer is one or knows no leader.
 func (r *Replica) joinLoop() {
 	defer r.wg.Done()
 	for {
-		if s := r.Status(); s.WantsToJoin() {
+		if s := r.Status(); s.WantsToJoin() && !r.leaving.Load() {
 			r.joinOrBootstrap(s)
 		}
 		select {
@@ -194,13 +194,13 @@
 
 // sendHello returns the reply to a hello message, or nil if there is none.
 func (r *Replica) sendHello(address string, s Status) *fleetpb.HelloReply {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	return r.roundTripHello(&fleetpb.Hello{Name: r.cfg.Name, Identity: s.ID, Empty: true}, address, time.Second)
+}
+
+func (r *Replica) roundTripHello(h *fleetpb.Hello, address string, timeout time.Duration) *fleetpb.HelloReply {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	e, err := r.cfg.Pool.RoundTrip(ctx, address, &fleetpb.Envelope{Body: &fleetpb.Envelope_Hello{Hello: &fleetpb.Hello{
-		Name:     r.cfg.Name,
-		Identity: s.ID,
-		Empty:    true,
-	}}})
+	e, err := r.cfg.Pool.RoundTrip(ctx, address, &fleetpb.Envelope{Body: &fleetpb.Envelope_Hello{Hello: h}})
 	if err != nil {
 		return nil
 	}
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -30,9 +30,11 @@
 	// startupElectionTicks is the election timeout before the first election
 	// after a start.
 	startupElectionTicks = 4
-	// voterRemovalTicks is the time without a response after which a surplus
-	// voter is removed.
-	voterRemovalTicks = 100
+	// voterRemovalTicks is the time without a response after which a voter is replaced
+	// if a learner is ready. With a tick of 50 ms it is 1.5 s: a lost voter must be
+	// replaced, after an election if it led, within the 4 s after which another
+	// instance may be lost. A voter that is replaced too early only becomes a learner.
+	voterRemovalTicks = 30
 	// helloInterval is the time between hello messages of an instance that is
 	// not a member yet.
 	helloInterval = 300 * time.Millisecond
@@ -58,8 +60,8 @@
 	// JoinOnly keeps an instance with an empty data folder from bootstrapping a
 	// fleet: it waits until it is added to an existing one.
 	JoinOnly bool
-	// TargetVoters is the number of voters to which a larger group is reduced by
-	// removing unresponsive voters; 0 never removes any.
+	// TargetVoters is the number of voters, an odd one. Further instances stay
+	// learners and replace lost or leaving voters. With 0, all become voters.
 	TargetVoters int
 	// OnSiteDocument is called with each committed site document (see package
 	// site), in order. It may be nil and must not block.
@@ -124,8 +126,10 @@
 	status   atomic.Pointer[Status]
 	document atomic.Pointer[control.LeasedDocument]
 	senders  *senders
-	done     chan struct{}
-	wg       sync.WaitGroup
+	// leaving is set once this instance leaves: it does not ask to join any more.
+	leaving atomic.Bool
+	done    chan struct{}
+	wg      sync.WaitGroup
 }
 
 // NewIdentity returns a random disk identity, which is never zero.
@@ -261,13 +265,20 @@
 func (r *Replica) Status() Status { return *r.status.Load() }
 
 // HandleHello replies to a hello message. The leader adds a sender that is not
-// a member yet as a learner.
+// a member yet as a learner, and replaces one that leaves.
 func (r *Replica) HandleHello(h *fleetpb.Hello) *fleetpb.HelloReply {
 	s := r.Status()
-	if h.Empty && s.Role == raft.Leader && r.mayJoin(h.Name) {
+	reply := &fleetpb.HelloReply{Name: r.cfg.Name, Identity: s.ID, Empty: s.LastIndex == 0}
+	if s.Role != raft.Leader {
+		return reply
+	}
+	if h.Leaving {
+		reply.Leave = leaveState(s, h.Identity)
+		r.send(&inputMsg{in: raft.Leave{ID: h.Identity}})
+	} else if h.Empty && r.mayJoin(h.Name) {
 		r.send(&inputMsg{in: raft.Join{Name: h.Name, ID: h.Identity}})
 	}
-	return &fleetpb.HelloReply{Name: r.cfg.Name, Identity: s.ID, Empty: s.LastIndex == 0}
+	return reply
 }
 
 func (r *Replica) mayJoin(name string) bool {
