raft: the model of the voters loses fresh successors and leaves short pauses

Losses now follow each other after none, few, or just enough rounds, planned changes are more frequent, and a successor may be lost before it has had its time.

--- a/internal/state/raft/doc.go
+++ b/internal/state/raft/doc.go
@@ -10,8 +10,12 @@
 //
 // A replica is identified by its disk and not by its instance name. An
 // instance that lost its data folder returns with a new identity, so it can
-// never vote twice in one term. It joins as a learner and replaces its former
-// identity.
+// never vote twice in one term. It joins as a learner, and its former identity is
+// removed once a learner can replace it.
+//
+// The leader aims for a fixed number of voters. Further replicas are learners and
+// replace voters that are lost or leave, in an order that leaves a quorum at each
+// moment (docs/design/voters.md).
 //
 // # Usage
 //
--- a/internal/state/raft/voters_test.go
+++ b/internal/state/raft/voters_test.go
@@ -209,42 +209,30 @@
 	f.forget(s)
 }
 
-// randomLoss performs one allowed loss, return or planned change.
+// randomLoss performs one allowed loss, return or planned change. Planned changes are
+// frequent, as each needs a successor first.
 func (f *fleet) randomLoss() {
-	switch f.draw(9) {
+	switch f.draw(12) {
 	case 0:
-		if s := f.pick(); s != nil {
-			s.paused = true
-			f.lose(s)
-		}
+		f.ifAllowed(func(s *simReplica) { s.paused = true })
 	case 1:
-		if s := f.pick(); s != nil {
-			f.partitioned[s.name] = true
-			f.lose(s)
-		}
+		f.ifAllowed(func(s *simReplica) { f.partitioned[s.name] = true })
 	case 2:
-		if s := f.pick(); s != nil {
-			f.crash(s)
-			f.lose(s)
-		}
+		f.ifAllowed(f.crash)
 	case 3:
-		if s := f.pick(); s != nil {
+		f.ifAllowed(func(s *simReplica) {
 			f.crash(s)
 			f.wipe(s)
-			f.lose(s)
-		}
+		})
 	case 4:
 		if s := f.pick(); s != nil {
 			f.replaceLost(s)
 		}
 	case 5:
-		if s := f.pick(); s != nil {
-			f.lose(s)
-			f.stop(s)
-		}
-	case 6:
+		f.ifAllowed(f.stop)
+	case 6, 7:
 		f.startSuccessor()
-	case 7:
+	case 8, 9:
 		f.stopReplaced()
 	default:
 		if len(f.away) > 0 {
@@ -253,13 +241,26 @@
 	}
 }
 
-// replaceLost ends an instance for good and starts its successor a little later.
+// ifAllowed makes an instance lost until it is back, if another loss is allowed.
+func (f *fleet) ifAllowed(loss func(s *simReplica)) {
+	if s := f.pick(); s != nil {
+		f.lose(s)
+		loss(s)
+	}
+}
+
+// replaceLost ends an instance for good and starts its successor a little later. The
+// successor may be lost before it has had its time, and be replaced as well: together
+// they are one loss.
 func (f *fleet) replaceLost(s *simReplica) {
 	f.crash(s)
 	f.lose(s)
 	f.run(f.draw(fleetElectionTicks))
 	f.away = slices.DeleteFunc(f.away, func(x *simReplica) bool { return x == s })
-	f.add()
+	for successor := f.add(); f.draw(3) == 0; successor = f.add() {
+		f.run(f.draw(catchUpRounds))
+		f.forget(successor)
+	}
 	f.forget(s)
 }
 
@@ -294,6 +295,10 @@
 	}
 }
 
+// pauses are the rounds between losses: few, and just enough for the next one to be
+// allowed.
+var pauses = []int{0, 1, fleetElectionTicks, fleetRemovalTicks, catchUpRounds, catchUpRounds + 1}
+
 // While no more instances are lost at a time than allowed, commands are committed,
 // whatever is replaced, stopped as planned, paused or cut off in between. This guards
 // against a change of voters that leaves no quorum after the next allowed loss, and
@@ -303,7 +308,7 @@
 		f := newFleet(t, rapid.IntRange(0, 2).Draw(t, "faults"), rapid.IntRange(0, 2).Draw(t, "standbys"))
 		for range rapid.IntRange(1, 20).Draw(t, "losses") {
 			f.randomLoss()
-			f.run(f.draw(2 * catchUpRounds))
+			f.run(rapid.SampledFrom(pauses).Draw(t, "pause"))
 			if f.draw(4) == 0 {
 				f.checkCommits("with losses that are allowed")
 			}
