--- a/internal/fleet/replica/leave.go
+++ b/internal/fleet/replica/leave.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,7 +28,7 @@
 	r.leaving.Store(true)
 	state := fleetpb.LeaveState_LEAVE_STATE_UNSPECIFIED
 	for ctx.Err() == nil {
-		state = r.askToLeave()
+		state = r.askToLeave(ctx)
 		if state == fleetpb.LeaveState_LEAVE_STATE_DONE || state == fleetpb.LeaveState_LEAVE_STATE_NO_SUCCESSOR {
 			break
 		}
@@ -35,23 +37,40 @@
 	r.cfg.Log.Info("leave the voters", zap.Stringer("state", state), zap.Duration("took", time.Since(start)))
 }
 
-// askToLeave asks the leader once and returns its answer.
-func (r *Replica) askToLeave() fleetpb.LeaveState {
+// askToLeave asks once and returns the answer of the leader, unspecified if it was not
+// reached.
+func (r *Replica) askToLeave(ctx context.Context) fleetpb.LeaveState {
 	s := r.Status()
 	if s.Leader == s.ID {
 		r.send(&inputMsg{in: raft.Leave{ID: s.ID}})
 		r.send(&inputMsg{in: raft.TransferLeadership{}})
 		return leaveState(s, s.ID)
 	}
-	address := r.linkAddress(s.LeaderName)
-	switch {
-	case !s.IsMember():
+	if !s.IsMember() {
 		return fleetpb.LeaveState_LEAVE_STATE_DONE
-	case address == "":
-		return fleetpb.LeaveState_LEAVE_STATE_UNSPECIFIED
 	}
 	h := &fleetpb.Hello{Name: r.cfg.Name, Identity: s.ID, Leaving: true}
-	return r.roundTripHello(h, address, leaveHelloTimeout).GetLeave()
+	for _, address := range r.leaveAddresses(s) {
+		state := r.roundTripHello(h, address, leaveHelloTimeout).GetLeave()
+		if state != fleetpb.LeaveState_LEAVE_STATE_UNSPECIFIED || ctx.Err() != nil {
+			return state
+		}
+	}
+	return fleetpb.LeaveState_LEAVE_STATE_UNSPECIFIED
+}
+
+// leaveAddresses returns the link addresses to ask, that of the leader first. A replica
+// that has been removed may not know the leader that removed it.
+func (r *Replica) leaveAddresses(s Status) []string {
+	var out []string
+	names := append([]string{s.LeaderName}, slices.Sorted(maps.Values(s.Voters.GetNames()))...)
+	for _, name := range names {
+		address := r.linkAddress(name)
+		if address != "" && name != r.cfg.Name && !slices.Contains(out, address) {
+			out = append(out, address)
+		}
+	}
+	return out
 }
 
 // linkAddress returns the link address of the named instance, empty if it is unknown.
--- a/internal/fleet/replica/leave_test.go
+++ b/internal/fleet/replica/leave_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"hawthornhub.example/hawthornhub/internal/state/fsm"
+	"hawthornhub.example/hawthornhub/internal/state/raft"
+	"hawthornhub.example/hawthornhub/internal/wire/statepb"
 )
 
 // newStandbyGroup returns three voters and one learner that stands by.
@@ -127,3 +129,16 @@
 		t.Errorf("identity %d, want %d", got, want)
 	}
 }
+
+// An instance that leaves asks all members if it does not know the leader: one that was
+// removed while the leader changed would otherwise wait for the whole time.
+func TestLeavingReplicaAsksAllMembers(t *testing.T) {
+	names := map[uint64]string{1: "a", 2: "b", 3: "c"}
+	r := &Replica{cfg: Config{Name: "a", AcceptUnlisted: true}}
+	for leader, want := range map[string][]string{"": {"b", "c"}, "c": {"c", "b"}} {
+		s := Status{State: raft.State{Voters: &statepb.Voters{Names: names}}, LeaderName: leader}
+		if got := r.leaveAddresses(s); !slices.Equal(got, want) {
+			t.Errorf("with the leader %q it asks %v, want %v", leader, got, want)
+		}
+	}
+}
