transport, batcher: releases share kept connections with each other

Cause: each release took a connection for itself, as its answer bears nothing that tells it from others. Releases at an upstream were also spaced, so that their memory came back later.

Change: the answers to releases are alike, so that it does not matter which comes for which. They share connections with each other and no other request.

--- a/internal/dispatch/batcher/spacing.go
+++ b/internal/dispatch/batcher/spacing.go
@@ -11,10 +11,6 @@
 	// connections. The bound is far above what an upstream reaches that fails some pieces.
 	lostInterval = 50 * time.Millisecond
 	lostBurst    = 10
-	// releaseInterval and releaseBurst bound the releases at an upstream, each of which
-	// takes a connection. Releases that come sooner share the next one.
-	releaseInterval = 20 * time.Millisecond
-	releaseBurst    = 10
 	// pauseLogInterval limits how often the pauses of an upstream are logged.
 	pauseLogInterval = 10 * time.Second
 )
--- a/internal/dispatch/transport/identity.go
+++ b/internal/dispatch/transport/identity.go
@@ -12,6 +12,9 @@
 	// marks ends the use of its connection: a second copy of it could not be told from the
 	// next answer.
 	byMarks
+	// interchangeable means that the answers to all requests of the kind are alike: nothing
+	// depends on which of them comes for which request.
+	interchangeable
 )
 
 // identity returns how the answer to the request is told from others.
@@ -21,6 +24,8 @@
 		return byID
 	case r.Marked:
 		return byMarks
+	case r.Cleanup:
+		return interchangeable
 	default:
 		return byConnection
 	}
@@ -38,7 +43,7 @@
 // of it would be recognized, so that its connection may carry another request.
 func (x *exchange) accounted(marked bool) bool {
 	switch x.request.identity() {
-	case byID:
+	case byID, interchangeable:
 		return true
 	case byMarks:
 		return marked
