batcher: jobs wait for upstreams that are not known yet

Cause: since control instances accept announcements only once they know the ended starts, entries have the document some hundred milliseconds before any upstream.

Change: within 3 s of its start, an owner admits jobs of a service without known upstreams as if it had one.

--- a/internal/dispatch/batcher/callable.go
+++ b/internal/dispatch/batcher/callable.go
@@ -56,6 +56,20 @@
 	return sum
 }
 
+// discoveryTime is how long after the start of the process the upstreams of a service may
+// still be unknown. After the loss of all processes, entries have the document some hundred
+// milliseconds before control instances accept the announcements of upstreams.
+const discoveryTime = 3 * time.Second
+
+// expectedCapacity returns the capacity by which a new job is admitted. While the upstreams
+// are not known yet, that is one: the job waits for them instead of being refused.
+func (d *dispatcher) expectedCapacity(now time.Time) float64 {
+	if now.Sub(d.owner.started) < discoveryTime && len(d.owner.cfg.Upstreams(d.shard.service)) == 0 {
+		return 1
+	}
+	return d.capacity(now)
+}
+
 // blocked returns how long none of the upstreams may be called, 0 if one may be called
 // or there is none.
 func (d *dispatcher) blocked(now time.Time) time.Duration {
--- a/internal/dispatch/batcher/owner.go
+++ b/internal/dispatch/batcher/owner.go
@@ -63,11 +63,11 @@
 // concurrent use.
 type Owner struct {
 	cfg         Config
+	started     time.Time
 	ctx         context.Context
 	cancel      context.CancelFunc
 	mu          sync.Mutex
 	dispatchers map[shard]*dispatcher
-	releases    releases
 	wg          sync.WaitGroup
 }
 
@@ -134,7 +134,7 @@
 
 // NewOwner returns an Owner without jobs.
 func NewOwner(cfg Config) *Owner {
-	o := &Owner{cfg: cfg, dispatchers: make(map[shard]*dispatcher)}
+	o := &Owner{cfg: cfg, started: time.Now(), dispatchers: make(map[shard]*dispatcher)}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
 	return o
 }
@@ -230,7 +230,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.recordAsked(now, request)
-	capacity := d.capacity(now)
+	capacity := d.expectedCapacity(now)
 	retry, ok := d.queue.Admit(now, j, capacity)
 	if wait := d.blocked(now); ok && !d.fitsAfter(now, wait, j) {
 		retry, ok = wait, false
