--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -239,7 +239,7 @@
 func (g *gatewayProcess) watchRequest() *fleetpb.Watch {
 	w := &fleetpb.Watch{Self: g.selfPeer(), Breakers: g.breakers.Breakers()}
 	if x := g.server.Index(); x != nil {
-		w.Version = x.Version
+		w.Version = &x.Version
 	}
 	return w
 }
@@ -452,6 +452,7 @@
 	scope.Gauge("requests_open").Update(float64(g.server.InFlight()))
 	scope.Gauge("upstream_connections").Update(float64(open))
 	scope.Gauge("upstream_dials").Update(float64(dialled))
+	scope.Gauge("upstream_answers_unmarked").Update(float64(g.transport.Unmarked()))
 	scope.Gauge("control_connected").Update(float64(g.follower.Load().ConnectedCount()))
 	received := g.follower.Load().Received()
 	scope.Gauge("news_received").Update(float64(received.Messages))
