gateway, batcher: waits are no part of response times; upstreams that were not called for long go first

(2) An upstream of pieces got no call in 30 s: the others were faster than expected, and idle at each dispatch.

Change: (1) the time from the send to the answer is kept apart. (2) an upstream that has had no call for 4 s and is not known as slow goes first.

Tests: TestWaitsAreNoPartOfResponseTimes, 503 for the second request before; TestUpstreamThatWasNotCalledForLongGoesFirst.

--- a/internal/api/gateway/closed_test.go
+++ b/internal/api/gateway/closed_test.go
@@ -152,6 +152,20 @@
 	}
 }
 
+// Guards against waits that count as part of the time of a response: after requests that have
+// waited for their upstream, others are refused although they could be answered in time.
+func TestWaitsAreNoPartOfResponseTimes(t *testing.T) {
+	u := newUpstream(t, ok)
+	f, table := newHeedingFixture(t, u.URL)
+	epoch := time.Now()
+	for i := range 3 {
+		table.Observe(time.Hour+time.Since(epoch), backoff.Start{ID: "u0"}, backoff.Signal{RetryAfter: 1200 * time.Millisecond})
+		if resp, body, err := f.call(t, "/safe/x"); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("request %d: got %v %q %v, want 200", i, resp, body, err)
+		}
+	}
+}
+
 // Guards against a hopeless request that is held back, and against a Retry-After that is not
 // the shortest remaining time.
 func TestRequestIsRefusedAtOnceIfAllAreClosedForLonger(t *testing.T) {
--- a/internal/api/gateway/response.go
+++ b/internal/api/gateway/response.go
@@ -195,4 +195,5 @@
 	e.total -= q.stagesTook
 	e.head = max(0, e.head-q.stagesTook)
 	q.server.sendDurations.record(q.route.Name, e)
+	q.server.responseTimes.record(q.route.Name, elapsed{total: now.Sub(q.sentAt)})
 }
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -134,6 +134,8 @@
 	// stages to the end of the response.
 	durations     routeDurations
 	sendDurations routeDurations
+	// responseTimes are those from sending a request to the end of the response.
+	responseTimes routeDurations
 	// stopAt is the time.Time at which the process stops, set when draining
 	// starts.
 	stopAt   atomic.Value
--- a/internal/api/gateway/wait.go
+++ b/internal/api/gateway/wait.go
@@ -125,7 +125,7 @@
 // sendTime is the expected time from sending the request until its response begins.
 func (q *request) sendTime() time.Duration {
 	if q.route.Kind != site.Streaming {
-		if average, ok := q.server.sendDurations.typical(q.route.Name); ok {
+		if average, ok := q.server.responseTimes.typical(q.route.Name); ok {
 			return average
 		}
 	}
--- a/internal/dispatch/batcher/owner.go
+++ b/internal/dispatch/batcher/owner.go
@@ -110,8 +110,9 @@
 
 // upstreamState is what a dispatcher knows of one upstream.
 type upstreamState struct {
-	// inFlight is the number of calls in progress.
+	// inFlight is the number of calls in progress, calledAt when the last one began.
 	inFlight     int
+	calledAt     time.Time
 	memory       resultMemory
 	backoffUntil time.Time
 	// idle is set if the last call has ended with an answer.
@@ -282,12 +283,11 @@
 			idle = append(idle, u)
 		}
 	}
-	// Upstreams whose slowness falls into the same step of 1/8 are called in random
-	// order.
+	// Upstreams of the same step are called in random order.
 	rand.Shuffle(len(idle), func(i, j int) { idle[i], idle[j] = idle[j], idle[i] })
 	steps := make(map[string]int, len(idle))
 	for _, u := range idle {
-		steps[u.ID] = int(8 * d.factor(now, u.ID))
+		steps[u.ID] = d.speedStep(now, u.ID)
 	}
 	slices.SortStableFunc(idle, func(a, b catalog.Upstream) int { return steps[a.ID] - steps[b.ID] })
 	for i, u := range idle {
@@ -354,10 +354,26 @@
 	}
 }
 
+// speedStep returns the place of an upstream in the order of calls, the fastest first, in
+// steps of 1/8 of the expected duration. One that has not been called for a while and is not
+// known as slow goes first: at low load, it would never be called otherwise if the others
+// are faster than expected.
+func (d *dispatcher) speedStep(now time.Time, id string) int {
+	factor := d.factor(now, id)
+	if factor < slowFactor && now.Sub(d.upstream(id).calledAt) > slownessHalfLife {
+		return 0
+	}
+	return int(8 * factor)
+}
+
+// slowFactor is the multiple of the expected duration from which an upstream counts as slow.
+const slowFactor = 1.5
+
 // startCall calls an upstream with a batch. The caller holds mu.
 func (d *dispatcher) startCall(now time.Time, u catalog.Upstream, batch []batching.Piece) {
 	s := d.upstream(u.ID)
 	s.inFlight++
+	s.calledAt = now
 	s.busy = !s.idle || s.memory.short(now, d.resultMemoryBytes)
 	for _, piece := range batch {
 		s.memory.reserved += piece.Job.ResultBytes
--- a/internal/dispatch/batcher/slowness_test.go
+++ b/internal/dispatch/batcher/slowness_test.go
@@ -45,3 +45,20 @@
 		t.Errorf("completed after %v, want at once", took)
 	}
 }
+
+// Guards against an upstream that is never called at low load because the others happen to be
+// faster than expected, and against one that is tried although it is known as slow.
+func TestUpstreamThatWasNotCalledForLongGoesFirst(t *testing.T) {
+	o := newOwner(t, 1<<40, newFakeUpstream(t))
+	d, _ := o.dispatcher(shard{service: "scan"})
+	now := time.Now()
+	d.upstream("fast").slowness.observe(now, 0.5)
+	d.upstream("fast").calledAt = now
+	d.upstream("slow").slowness.observe(now, 20)
+	if got, other := d.speedStep(now, "idle"), d.speedStep(now, "fast"); got >= other {
+		t.Errorf("step %d of an upstream that was never called, want less than %d", got, other)
+	}
+	if got, other := d.speedStep(now, "slow"), d.speedStep(now, "fast"); got <= other {
+		t.Errorf("step %d of a slow upstream, want more than %d", got, other)
+	}
+}
