--- a/internal/dispatch/batcher/memory.go
+++ b/internal/dispatch/batcher/memory.go
@@ -2,33 +2,50 @@
 
 import "time"
 
-// fillShare is the share of an upstream's result memory that is filled. Result sizes in the
-// configuration are approximate.
-const fillShare = 0.92
+const (
+	// fillShare is the share of an upstream's result memory that is filled.
+	// Result sizes in the configuration are approximate.
+	fillShare = 0.92
+	// shortageFillShare replaces fillShare for shortageDuration after an upstream ran out
+	// of memory that the results of this owner fill: they are larger than configured.
+	shortageFillShare = 0.5
+	shortageDuration  = 1500 * time.Millisecond
+	// minForeignShare is the share of the memory that an upstream must lack beyond the
+	// results of this owner to count as taken by those of another one.
+	minForeignShare = 0.5
+)
 
 // resultMemory tracks the memory for results at one upstream.
 type resultMemory struct {
 	// reserved is the memory for the results of calls in progress.
 	reserved int64
 	held     map[string]heldResult
-	// foreign is the memory that results of other owners took at shortageAt, the last time
-	// that the upstream ran out of memory. These expire within foreignTTL.
-	foreign    int64
+	// shortageAt is when the upstream last ran out of memory.
 	shortageAt time.Time
+	// foreign is the memory that results of other owners took then. These expire within
+	// foreignTTL.
+	foreign    int64
 	foreignTTL time.Duration
 }
 
 // available returns how much of an upstream's memory of total bytes may still
 // be filled.
 func (m *resultMemory) available(now time.Time, total int64) int64 {
-	return int64(fillShare*float64(total)) - m.used(now) - m.foreignAt(now)
+	share, foreign := fillShare, m.foreignAt(now)
+	if m.foreign == 0 && now.Sub(m.shortageAt) < shortageDuration {
+		share = shortageFillShare
+	}
+	return int64(share*float64(total)) - m.used(now) - foreign
 }
 
-// recordShortage notes that the upstream has no memory left: what the results of this owner
-// do not take is taken by those of another one, such as the owner before. They expire one
-// after the other within ttl.
+// recordShortage notes that the upstream has no memory left. If the results of this owner
+// take a small part of it, the rest is taken by those of another one, such as the owner
+// before. They expire one after the other within ttl.
 func (m *resultMemory) recordShortage(now time.Time, total int64, ttl time.Duration) {
-	m.foreign, m.shortageAt, m.foreignTTL = max(0, total-m.used(now)), now, ttl
+	m.shortageAt, m.foreign, m.foreignTTL = now, total-m.used(now), ttl
+	if m.foreign < int64(minForeignShare*float64(total)) {
+		m.foreign = 0
+	}
 }
 
 // foreignAt returns the memory that results of other owners are expected to take.
--- a/internal/dispatch/batcher/memory_test.go
+++ b/internal/dispatch/batcher/memory_test.go
@@ -36,18 +36,25 @@
 	}
 }
 
-// Guards against an owner that stops calling an upstream whose memory its own results fill:
-// there is room again as soon as they are released.
-func TestOwnResultsAreNoShortage(t *testing.T) {
+// Guards against the results of this owner, which are larger than configured, being taken for
+// those of another one, which stay for their whole lifetime: the memory would be used less.
+func TestOwnResultsAreNoForeignOnes(t *testing.T) {
 	const total = 1000
 	now := time.Now()
+	at := func(d time.Duration) time.Time { return now.Add(d) }
 	var m resultMemory
 	for _, handle := range []string{"a", "b"} {
-		m.add(handle, heldResult{bytes: 500, expires: now.Add(time.Hour)})
+		m.add(handle, heldResult{bytes: 400, expires: at(time.Hour)})
 	}
 	m.recordShortage(now, total, 4*time.Second)
 	m.remove([]string{"a"})
-	if got, want := m.available(now, total), int64(920-500); got != want {
+	if got, want := m.available(now, total), int64(500-400); got != want {
 		t.Errorf("available after a release: %d, want %d", got, want)
 	}
+	if got, want := m.available(at(shortageDuration), total), int64(920-400); got != want {
+		t.Errorf("available after the shortage: %d, want %d", got, want)
+	}
+	if m.short(now, total) {
+		t.Error("results of other owners are expected, want none")
+	}
 }
