--- a/internal/state/raft/voters_test.go
+++ b/internal/state/raft/voters_test.go
@@ -128,7 +128,7 @@
 	f.away = append(f.away, s)
 }
 
-// back ends the loss of an instance.
+// back records that a lost instance is there again.
 func (f *fleet) back(s *simReplica) {
 	f.t.Logf("round %d: %s is back", f.now, s.name)
 	f.away = slices.DeleteFunc(f.away, func(x *simReplica) bool { return x == s })
