--- /dev/null
+++ b/review/harness-2/firststart.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+func init() { scenes["first-start"] = firstStart }
+
+const (
+	// replacedAfter is when the machine that takes the place of the lost one starts.
+	replacedAfter = 3 * time.Second
+	// formLimit is how long the fleet may take to accept its first configuration, many times
+	// catch-up-s and recover-s.
+	formLimit = 40 * time.Second
+	// probeCount is the number of requests that are sent then.
+	probeCount = 40
+)
+
+// firstStart starts the whole system for the first time. One of the three machines with a
+// disk is lost for good as they start, and an empty one at another address replaces it.
+func firstStart(r *record, trouble bool) (bool, error) {
+	f, err := newFleetWith(r, 2, func(_ *fleet, i int) bool { return trouble && i == 2 })
+	if err != nil {
+		return false, err
+	}
+	defer f.close()
+	s := f.newServer("i-api0", "api", zoneOf(0), 6)
+	if err := s.start(""); err != nil {
+		return false, err
+	}
+	if trouble {
+		time.Sleep(replacedAfter)
+		// The new machine is registry-3. All settings name it as a seed in place of the lost one.
+		f.registries = []int{0, 1, 3}
+		if err := f.startRegistry(3, false); err != nil {
+			return false, err
+		}
+		time.Sleep(time.Second)
+		if err := f.reloadAll(); err != nil {
+			return false, err
+		}
+	}
+	_, err = f.putConfigWithin(document(7, nil), formLimit)
+	r.add("first configuration: error %v", err)
+	served := 0
+	for i := range probeCount {
+		if a := sendStatus(f, i); a.status == 200 {
+			served++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	fmt.Println("first configuration:", err, "served:", served, "of", probeCount)
+	r.add("served %d of %d", served, probeCount)
+	return served == 0, nil
+}
