--- a/review/harness-2/firststart.go
+++ b/review/harness-2/firststart.go
@@ -8,6 +8,8 @@
 func init() { scenes["first-start"] = firstStart }
 
 const (
+	// lastStart is when the last of the three machines starts: all start within 0.3 s.
+	lastStart = 250 * time.Millisecond
 	// replacedAfter is when the machine that takes the place of the lost one starts.
 	replacedAfter = 3 * time.Second
 	// formLimit is how long the fleet may take to accept its first configuration, many times
@@ -17,14 +19,22 @@
 	probeCount = 40
 )
 
-// firstStart starts the whole system for the first time. One of the three machines with a
-// disk is lost for good as they start, and an empty one at another address replaces it.
+// firstStart starts the whole system for the first time. The last of the three machines with
+// a disk to start is lost for good at once, and an empty one at another address replaces it.
 func firstStart(r *record, trouble bool) (bool, error) {
-	f, err := newFleetWith(r, 2, func(_ *fleet, i int) bool { return trouble && i == 2 })
+	f, err := newFleetWith(r, 2, func(_ *fleet, i int) bool { return i == 2 })
 	if err != nil {
 		return false, err
 	}
 	defer f.close()
+	time.Sleep(lastStart)
+	if err := f.startRegistry(2, true); err != nil {
+		return false, err
+	}
+	if trouble {
+		f.kill("registry-2")
+		f.forget("registry-2")
+	}
 	s := f.newServer("i-api0", "api", zoneOf(0), 6)
 	if err := s.start(""); err != nil {
 		return false, err
--- a/review/harness-2/fleet.go
+++ b/review/harness-2/fleet.go
@@ -219,6 +219,13 @@
 	<-f.proc(name).exited
 }
 
+// forget leaves out a process that has ended and stays away.
+func (f *fleet) forget(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.procs, name)
+}
+
 // running reports whether a process has not ended.
 func (f *fleet) running(name string) bool {
 	select {
