--- a/review/harness-2/unsealed.go
+++ b/review/harness-2/unsealed.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,24 +14,22 @@
 const (
 	// garbleServers is the number of servers, of which garblers spoil garbleShare of their
 	// answers for garbleTime.
-	garbleServers = 8
-	garblers      = 4
+	garbleServers = 18
+	garblers      = 9
 	garbleShare   = 0.05
 	garbleTime    = 5 * time.Second
+	// garbleGateways is the number of gateways.
+	garbleGateways = 5
 	// garbleRate is the requests a second.
 	garbleRate = 60
+	// wrongBytes is what a server hands out in place of an answer: it has neither the id of
+	// the request nor a seal.
+	wrongBytes = "<html>it works so far</html>"
 )
 
-// wrongBytes returns what a server hands out in place of an answer: the beginning of its own
-// head, without the seal, and a foreign body.
-func wrongBytes(id string) string {
-	const body = "<html>it works so far</html>"
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nHawthornhub-Attempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
-}
-
 // unsealed has servers hand out wrong bytes now and then.
 func unsealed(r *record, trouble bool) (bool, error) {
-	f, err := newFleet(r, 2)
+	f, err := newFleet(r, garbleGateways)
 	if err != nil {
 		return false, err
 	}
@@ -39,17 +38,12 @@
 		s := f.newServer(fmt.Sprintf("i-api%d", i), "api", zoneOf(i%3), 6)
 		spoils := trouble && i < garblers
 		s.before = func(w http.ResponseWriter, q *http.Request) bool {
-			if !spoils || rand.Float64() >= garbleShare {
+			id := q.Header.Get("Hawthornhub-Attempt-Id")
+			if id == "" || !spoils || rand.Float64() >= garbleShare {
 				return false
 			}
-			c, _, err := w.(http.Hijacker).Hijack()
-			if err != nil {
-				return false
-			}
-			defer c.Close()
-			text := wrongBytes(q.Header.Get("Hawthornhub-Attempt-Id"))
-			r.add("server %s hands out wrong bytes for %s: %q", s.id, q.Header.Get("Hawthornhub-Attempt-Id"), text)
-			io.WriteString(c, text)
+			r.add("server %s hands out wrong bytes for %s: %q", s.id, id, wrongBytes)
+			io.WriteString(w, wrongBytes)
 			return true
 		}
 		if err := s.start(""); err != nil {
@@ -79,5 +73,8 @@
 	})
 	fmt.Println(t.counts)
 	r.add("%v", t.counts)
+	if 2*(t.get("safe 200")+t.get("unsafe 200")) < int(garbleRate*garbleTime.Seconds()) {
+		return false, errors.New("the fleet doesn't serve most requests")
+	}
 	return t.get("unsealed safe sent")+t.get("unsealed unsafe sent") > 0, nil
 }
