review: cases that cannot run say so

Cause: with programs that end at once, cases 6, 7 and 10 would have held and case 9 would have broken its rule. Seen: all five exit with 2 then, as they do before the build.

--- a/review/harness-2/firststart.go
+++ b/review/harness-2/firststart.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -53,6 +54,15 @@
 	}
 	_, err = f.putConfigWithin(document(7, nil), formLimit)
 	r.add("first configuration: error %v", err)
+	names := []string{"gateway-0", "gateway-1"}
+	for _, i := range f.registries {
+		names = append(names, fmt.Sprintf("registry-%d", i))
+	}
+	for _, name := range names {
+		if !f.running(name) {
+			return false, fmt.Errorf("%s has ended", name)
+		}
+	}
 	served := 0
 	for i := range probeCount {
 		if a := sendStatus(f, i); a.status == 200 {
@@ -62,5 +72,8 @@
 	}
 	fmt.Println("first configuration:", err, "served:", served, "of", probeCount)
 	r.add("served %d of %d", served, probeCount)
+	if !trouble && 2*served < probeCount {
+		return false, errors.New("the fleet doesn't serve requests without the disruption")
+	}
 	return served == 0, nil
 }
--- a/review/harness-2/quickroute.go
+++ b/review/harness-2/quickroute.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -73,5 +74,8 @@
 	}
 	r.add("%v %v, %d requests on the added route reached a server", first.counts, added.counts, arrived)
 	fmt.Println(first.counts, added.counts, "reached a server:", arrived)
+	if 2*first.get("first 200") < quickRequests {
+		return false, errors.New("the fleet doesn't serve the first route")
+	}
 	return 4*added.get("added 200") < first.get("first 200"), nil
 }
--- a/review/harness-2/refused.go
+++ b/review/harness-2/refused.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -137,6 +138,9 @@
 	}
 	fmt.Println(counts)
 	r.add("%v", counts)
+	if 2*counts["status 200"] < int(bookingRate*bookingTime.Seconds()) {
+		return false, errors.New("the fleet doesn't serve most bookings")
+	}
 	return counts["refused and run"] > 0, nil
 }
 
