dispatch/transport: check the head of an answer before it is parsed

Callers got a 200 with the upstream's seal, without the line, and with chunk sizes or foreign bytes in the body, if the name of a header held a blank, "Transfer-Encoding : chunked" for one. The same on streams and inside of resumed ones, and as the result of a piece.

Cause: net/http passes over names with a blank, joins a line that begins with a blank to the one before it, takes any version, and passes over the encoding in HTTP/1.0. It then takes the body to be framed in another way than the upstream meant, and the line to be none.

Tabs and control bytes in names were refused already, as was a head cut after any of its bytes, by a close or a reset (TestCutHeadIsNoAnswer); these tests stay.

Why this works: all answers of upstreams that run without an agent are read here. Each line is checked as it comes, in the buffer from which net/http reads on, and that runs only on a whole head in which every line is the name of a header, a colon and a value. The limit of a head, a type of its own until now, is part of the same loop.

--- a/internal/dispatch/transport/conn.go
+++ b/internal/dispatch/transport/conn.go
@@ -41,9 +41,7 @@
 type conn struct {
 	net.Conn
 	target Target
-	// head limits what br reads for the head of an answer.
-	head *headLimiter
-	br   *bufio.Reader
+	br     *bufio.Reader
 	// requests is the number of requests sent on the connection.
 	requests int
 	// identity is that of all requests on the connection.
@@ -72,8 +70,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial upstream %s at %s: %w", t.ID, t.Address, err)
 	}
-	head := &headLimiter{Conn: raw}
-	return &conn{Conn: raw, target: t, head: head, br: bufio.NewReaderSize(head, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	return &conn{Conn: raw, target: t, br: bufio.NewReaderSize(raw, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // Refuses reports whether nothing accepts connections at an upstream's address any more,
--- a/internal/dispatch/transport/send.go
+++ b/internal/dispatch/transport/send.go
@@ -160,9 +160,12 @@
 
 // readResponse reads the next response and skips informational (1xx) ones.
 func (x *exchange) readResponse() (*http.Response, error) {
-	x.conn.head.limit(maxHeadBytes)
-	defer x.conn.head.unlimit()
-	for {
+	for limit := maxHeadBytes; ; {
+		size, err := x.conn.awaitHead(limit)
+		if err != nil {
+			return nil, err
+		}
+		limit -= size
 		resp, err := http.ReadResponse(x.conn.br, &http.Request{Method: x.request.Method})
 		if err != nil {
 			return nil, err
