dispatch/transport: refuse a status that no answer has

Callers waited until their deadline for an answer with a status under 100, and got statuses from 600 on as they were. A status 000 did not reach them.

Cause: the reader of answers reads past each status under 200 as an interim answer, and net/http takes any three digits. Behind a status 000 nothing follows, so that the wait ends with the request.

Why this works: the status line is checked where the rest of the head is, before anything can be read past. Such an answer counts as none, so that a request that may be repeated goes to another upstream at once.

--- a/internal/api/gateway/broken_test.go
+++ b/internal/api/gateway/broken_test.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// unchangedFor is how long a raw answer keeps its connection open.
-const unchangedFor = 3 * time.Second
+// heldOpenFor is how long a raw answer keeps its connection open.
+const heldOpenFor = 3 * time.Second
 
 // answerRaw answers with the bytes of text, in which ID stands for the ID of the request, and
 // ends the connection with end, nil for closing it.
@@ -32,7 +32,7 @@
 func reset(c *net.TCPConn) { c.SetLinger(0) }
 
 // hold keeps the connection open.
-func hold(*net.TCPConn) { time.Sleep(unchangedFor) }
+func hold(*net.TCPConn) { time.Sleep(heldOpenFor) }
 
 // wholeStream is what writeEvents(2) sends.
 const wholeStream = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
@@ -102,3 +102,21 @@
 		t.Run(name, func(t *testing.T) { checkNotForwarded(t, answerRaw(text, nil)) })
 	}
 }
+
+// A status that no answer has must neither reach callers nor be waited past, as an interim answer
+// is: nothing may follow it.
+func TestBrokenStatusReachesCallers(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999"} {
+		text := "HTTP/1.1 " + status + " X\r\nId: ID\r\nContent-Type: text/event-stream\r\nSeal: s\r\nContent-Length: 4\r\n\r\nbody"
+		for name, end := range map[string]func(*net.TCPConn){"closed": nil, "held open": hold} {
+			t.Run(status+" "+name, func(t *testing.T) {
+				t.Parallel()
+				start := time.Now()
+				checkNotForwarded(t, answerRaw(text, end))
+				if took := time.Since(start); took > heldOpenFor {
+					t.Errorf("took %v, want less than %v", took, heldOpenFor)
+				}
+			})
+		}
+	}
+}
--- a/internal/dispatch/batcher/broken_test.go
+++ b/internal/dispatch/batcher/broken_test.go
@@ -14,6 +14,8 @@
 		"blank before a colon":        strings.Replace(whole, "Length:", "Length :", 1),
 		"blank before a name":         strings.Replace(whole, "\r\n", "\r\n X: z\r\n", 1),
 		"blank in an interim answer":  "HTTP/1.1 102 Wait\r\nX Y: z\r\n\r\n" + whole,
+		"no status":                   strings.Replace(whole, "200 OK", "000 OK", 1),
+		"status past the last one":    strings.Replace(whole, "200 OK", "600 OK", 1),
 		"blank in a rejection's name": "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nX Y: z\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/dispatch/transport/head.go
+++ b/internal/dispatch/transport/head.go
@@ -106,17 +106,17 @@
 // statusLineBytes is the size of a status line without its reason.
 const statusLineBytes = len("HTTP/1.1 200")
 
-// checkStatus checks a status line: HTTP/1.x, one blank, three digits, and another blank if a
-// reason follows.
+// checkStatus checks a status line: HTTP/1.x, one blank, a status from 100 to 599, and another
+// blank if a reason follows.
 func (h *head) checkStatus(line []byte) error {
 	version, ok := bytes.CutPrefix(line, []byte("HTTP/1."))
 	if !ok || len(line) < statusLineBytes || !isDigit(version[0]) || version[1] != ' ' || len(line) > statusLineBytes && line[statusLineBytes] != ' ' {
 		return &headError{"no status line of HTTP/1.1", line}
 	}
-	for _, b := range line[statusLineBytes-3 : statusLineBytes] {
-		if !isDigit(b) {
-			return &headError{"no status", line}
-		}
+	// net/http reads past answers below 200, whatever they are.
+	status := line[statusLineBytes-3 : statusLineBytes]
+	if status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]) {
+		return &headError{"a status that is not from 100 to 599", line}
 	}
 	h.http10 = version[0] == '0'
 	return nil
--- a/internal/dispatch/transport/head_test.go
+++ b/internal/dispatch/transport/head_test.go
@@ -59,7 +59,7 @@
 // A line that no head has is an error as soon as it has come, though the upstream sends nothing
 // more and keeps the connection open.
 func TestBrokenHeadIsRefusedAtOnce(t *testing.T) {
-	for _, text := range []string{"what?\r\n", "HTTP/1.1 200 OK\r\nX Y: z\r\n", "HTTP/1.1 200 OK\r\n A: b\r\n"} {
+	for _, text := range []string{"what?\r\n", "HTTP/1.1 000 X\r\n", "HTTP/1.1 200 OK\r\nX Y: z\r\n", "HTTP/1.1 200 OK\r\n A: b\r\n"} {
 		release := make(chan struct{})
 		to := onceUpstream(t, func(c *net.TCPConn) {
 			io.WriteString(c, text)
