dispatch/transport: an upload that breaks off ends no answer without length

Callers got part of an answer as a complete 200 if it had no length and its connection was reset while the upload was still written: plain answers, streams and resumed streams.

Cause: the kernel reports a reset once. While the request is written beside the reading of its answer, the write mostly takes the report, and the read then sees what it sees when an upstream ends an answer without length by closing.

Answers whose upstream closes its side and reads the upload to its end stay complete.

Why this works: at the end of a body that only its connection ends, the outcome of the write is awaited, and an error of it is that of the body, whoever reads it. What has a length or chunks does not depend on it. An upstream that closes its side and then resets the connection counts as broken off too: the order of the two can't be told.

--- a/internal/api/gateway/broken_test.go
+++ b/internal/api/gateway/broken_test.go
@@ -120,3 +120,47 @@
 		}
 	}
 }
+
+// An answer without a length that is reset while the upload is still written is not complete,
+// whichever side of the connection meets the reset.
+func TestPartOfAnswerToUploadLooksComplete(t *testing.T) {
+	const uploadBytes = 4 << 20
+	event := wholeStream[:len(wholeStream)/2]
+	late := func(c *net.TCPConn) {
+		time.Sleep(time.Millisecond)
+		reset(c)
+	}
+	part := answerRaw("HTTP/1.1 200 OK\r\nId: ID\r\nContent-Type: text/event-stream\r\n\r\n"+event, late)
+	next := answerRaw("HTTP/1.1 200 OK\r\nId: ID\r\nContent-Type: text/event-stream\r\n\r\n"+wholeStream[len(event):], late)
+	for _, tt := range []struct {
+		name, path    string
+		first, second http.HandlerFunc
+		// want is the body that the caller gets, cut is set if it must not look complete.
+		want string
+		cut  bool
+	}{
+		{"unsafe request", "/once/x", part, ok, "", true},
+		{"safe request", "/safe/x", part, writeEvents(2), wholeStream, false},
+		{"stream", "/stream/x", part, writeEvents(2), event, true},
+		{"resumable stream", "/resume/x", part, writeEvents(2), wholeStream, false},
+		{"resumed stream", "/resume/x", writeEvents(-2), next, wholeStream, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			d := document()
+			d.Limits.BodyBytes = uploadBytes
+			for range 10 {
+				f := newFixture(t, d, newUpstream(t, tt.first).URL, newUpstream(t, tt.second).URL)
+				f.body = strings.Repeat("x", uploadBytes)
+				resp, body, err := f.call(t, tt.path)
+				failed := err != nil || resp.StatusCode == http.StatusBadGateway
+				if resp != nil && resp.StatusCode != http.StatusOK {
+					body = ""
+				}
+				if failed != tt.cut || body != tt.want {
+					t.Errorf("got %d with %q (%v), want %q, cut: %t", statusOf(resp), body, err, tt.want, tt.cut)
+				}
+			}
+		})
+	}
+}
--- a/internal/api/gateway/gateway_test.go
+++ b/internal/api/gateway/gateway_test.go
@@ -130,6 +130,8 @@
 	jobs     []batcher.Job
 	released []string
 	runStage func(job batcher.Job) batcher.Result
+	// body is that of the requests of call.
+	body string
 }
 
 // document returns a site document with one route of each kind; stages are those
@@ -167,7 +169,7 @@
 		list = append(list, catalog.Upstream{ID: fmt.Sprint("u", i), Service: "s", Address: strings.TrimPrefix(address, "http://"), Slots: 4, State: catalog.Ready, LastSeen: time.Now()})
 	}
 	pool := transport.NewPool(transport.Config{Classify: classify, Log: zap.NewNop()})
-	f := &fixture{pool: pool}
+	f := &fixture{pool: pool, body: "body"}
 	f.Server = NewServer(Config{
 		Headers:   testCodec(),
 		Send:      pool.Send,
@@ -205,7 +207,7 @@
 // which reading the body ended.
 func (f *fixture) call(t *testing.T, path string, headers ...string) (*http.Response, string, error) {
 	t.Helper()
-	r, err := http.NewRequest(http.MethodPost, f.url+path, strings.NewReader("body"))
+	r, err := http.NewRequest(http.MethodPost, f.url+path, strings.NewReader(f.body))
 	if err != nil {
 		t.Fatalf("request: %v", err)
 	}
--- a/internal/dispatch/transport/send.go
+++ b/internal/dispatch/transport/send.go
@@ -39,10 +39,10 @@
 	conn     *conn
 	upstream *upstreamConns
 	request  Request
-	// writeDone receives the result of a concurrent write.
-	writeDone chan error
-	// written is set once the whole request is known to be written.
-	written bool
+	// written is closed when a concurrent write has ended with writeErr. It is nil if the
+	// request was written before its answer is read.
+	written  chan struct{}
+	writeErr error
 }
 
 // Send sends a request once and returns how it ended. The connection is closed
@@ -61,7 +61,7 @@
 		p.release(c, u, c.requests > 0)
 		return NotSent{Err: err, Local: true}
 	}
-	x := &exchange{pool: p, target: t, conn: c, upstream: u, request: r, writeDone: make(chan error, 1)}
+	x := &exchange{pool: p, target: t, conn: c, upstream: u, request: r}
 	c.requests++
 	c.carried.add(r.ID)
 	stop := context.AfterFunc(ctx, func() { c.Close() })
@@ -89,10 +89,13 @@
 // startWrite writes a request with a small body, and starts writing any other.
 func (x *exchange) startWrite() error {
 	if len(x.request.Body) < concurrentWriteBytes {
-		x.written = true
 		return x.writeRequest()
 	}
-	go func() { x.writeDone <- x.writeRequest() }()
+	x.written = make(chan struct{})
+	go func() {
+		defer close(x.written)
+		x.writeErr = x.writeRequest()
+	}()
 	return nil
 }
 
@@ -188,15 +191,23 @@
 
 // checkWritten reports whether the whole request has been written.
 func (x *exchange) checkWritten() bool {
-	if x.written {
-		return true
-	}
 	select {
-	case err := <-x.writeDone:
-		x.written = err == nil
+	case <-x.written:
+		return x.writeErr == nil
 	default:
+		return x.written == nil
+	}
+}
+
+// confirmEnd waits until the request has been written, and returns why it could not be. A reset
+// is reported once, to the write or to the read that meets it first. To the other one the
+// connection looks as if the upstream had closed it at the end of its answer.
+func (x *exchange) confirmEnd() error {
+	if x.written == nil {
+		return nil
 	}
-	return x.written
+	<-x.written
+	return x.writeErr
 }
 
 // outcome returns the outcome of a matching response.
@@ -210,7 +221,11 @@
 		x.pool.release(x.conn, x.upstream, keep && complete && stopped)
 		return Rejected{Status: resp.StatusCode, Reply: reply}
 	}
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	body := &body{Reader: resp.Body}
+	if unframed {
+		body.confirm = x.confirmEnd
+	}
 	a := &Answered{
 		Status: resp.StatusCode,
 		Header: resp.Header,
@@ -218,7 +233,7 @@
 		Reply:  reply,
 		Body:   body,
 
-		Unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		Unframed: unframed,
 		carried:  &x.conn.carried,
 	}
 	a.release = func(reuse bool) {
@@ -261,6 +276,9 @@
 // body is a response body that records whether it was read to its end.
 type body struct {
 	io.Reader
+	// confirm returns an error if the end of the bytes is not that of the body. nil for a body
+	// that tells its end itself.
+	confirm func() error
 	// complete is set by the reader, while another goroutine may close the response.
 	complete atomic.Bool
 }
@@ -268,6 +286,11 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
+	if err == io.EOF && b.confirm != nil {
+		if broken := b.confirm(); broken != nil {
+			return n, fmt.Errorf("the answer ended while the request was written: %w", broken)
+		}
+	}
 	if err == io.EOF {
 		b.complete.Store(true)
 	}
