dispatch/upstream: read the answers of the agent's upstream in transport

Callers of the own interface were told "not run, try again" for a stage that the upstream ran, or it ran at a second upstream, if the upstream had written an earlier refusal (503) once more on its kept connection. A refusal whose head held a name with a blank, or was of another protocol, counted as "not run" as well, and a result in such an answer as a result. A redirect made the agent take the result from where it pointed to.

Cause: the agent had a reader of answers of its own, the client of net/http, with none of what dispatch/transport checks. It takes what comes first on a kept connection for the answer, and no status 503 says which stage it is for.

Statuses 000 and 600, cut heads, missing ends and answers to other stages were handled already.

Why this works: the agent sends through a transport.Pool, so that all answers of upstreams are read in one place. The ID of a stage, which is in each line, is the mark of its answer: the connection is kept only after an answer with one, and a refusal has none. net/http and its limits go. The agent's actor closes the client as it stops.

Stages one after the other still share a connection (TestStagesKeepConnection).

--- a/internal/dispatch/agent/actor.go
+++ b/internal/dispatch/agent/actor.go
@@ -119,6 +119,11 @@
 	case *countCallsMsg:
 		msg.done <- len(s.calls)
 		return
+	case *actor.Stopping:
+		if s.client != nil {
+			s.client.Close()
+		}
+		return
 	default:
 		return
 	}
--- a/internal/dispatch/upstream/client.go
+++ b/internal/dispatch/upstream/client.go
@@ -1,26 +1,24 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
+	"hawthornhub.example/hawthornhub/internal/dispatch/transport"
 	"hawthornhub.example/hawthornhub/internal/wire/strictjson"
 )
 
 const (
-	// maxIdleConnections is the maximum number of idle connections to the upstream.
-	maxIdleConnections = 256
-	// maxHeaderBytes limits the headers of an answer, maxLineBytes one line of its
-	// body, so that an upstream that sends bytes without end does not fill the memory.
-	maxHeaderBytes = 128 << 10
-	maxLineBytes   = 16 << 20
+	// maxLineBytes limits one line of the body of an answer, so that an upstream that sends
+	// bytes without end does not fill the memory.
+	maxLineBytes = 16 << 20
 	// drainBytes and drainTimeout limit what is read of an answer that is done with,
 	// to reuse its connection.
 	drainBytes   = 4 << 10
@@ -29,24 +27,23 @@
 
 // Client sends requests to one upstream. It is safe for concurrent use.
 type Client struct {
-	baseURL string
-	http    *http.Client
+	target transport.Target
+	pool   *transport.Pool
 }
 
 // NewClient returns a Client for the announced address.
 func NewClient(address string) *Client {
 	return &Client{
-		baseURL: "http://" + address,
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
-			MaxIdleConns:           maxIdleConnections,
-			MaxIdleConnsPerHost:    maxIdleConnections,
-			MaxResponseHeaderBytes: maxHeaderBytes,
-			DisableCompression:     true,
-		}},
+		target: transport.Target{ID: address, Address: address},
+		pool:   transport.NewPool(transport.Config{Classify: classify, Log: zap.NewNop()}),
 	}
 }
 
+// classify reads the status of an answer. Only 503 says that nothing was run.
+func classify(status int, _ http.Header) transport.Reply {
+	return transport.Reply{NotExecuted: status == http.StatusServiceUnavailable}
+}
+
 // RunError reports a stage that did not finish. Started is false only if it is
 // certain that the upstream did not start the stage.
 type RunError struct {
@@ -65,35 +62,65 @@
 // Unwrap returns the cause.
 func (e *RunError) Unwrap() error { return e.Cause }
 
-func (c *Client) post(ctx context.Context, path string, body any) (*http.Response, error) {
-	b, err := json.Marshal(body)
+// StatusError reports an answer with another status than 200.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %d %s", e.Status, http.StatusText(e.Status))
+}
+
+// post sends a request with a JSON body and returns its answer, which must be closed, if its
+// status is 200. The error is a *RunError. kind has what tells the answer from others.
+func (c *Client) post(ctx context.Context, path string, content any, kind transport.Request) (*transport.Answered, error) {
+	body, err := json.Marshal(content)
 	if err != nil {
-		return nil, fmt.Errorf("encode request: %w", err)
+		return nil, &RunError{Cause: fmt.Errorf("encode request: %w", err)}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.baseURL+path, bytes.NewReader(b))
-	if err != nil {
-		return nil, fmt.Errorf("build request: %w", err)
+	kind.Method, kind.URI, kind.Host = http.MethodPost, path, c.target.Address
+	kind.Header, kind.Body = http.Header{"Content-Type": {"application/json"}}, body
+	switch o := c.pool.Send(ctx, c.target, kind).(type) {
+	case transport.NotSent:
+		return nil, &RunError{Cause: o.Err}
+	case transport.Rejected:
+		return nil, &RunError{Cause: &StatusError{o.Status}}
+	case transport.Unknown:
+		return nil, &RunError{Started: true, Cause: o.Err}
+	case *transport.Answered:
+		if o.Status != http.StatusOK {
+			o.Close()
+			return nil, &RunError{Started: true, Cause: &StatusError{o.Status}}
+		}
+		return o, nil
+	default:
+		panic(fmt.Sprintf("upstream: unhandled outcome %T", o))
 	}
-	// Without GetBody, net/http does not send the body again once it has begun to
-	// read it, neither on another connection nor after a redirect.
-	req.GetBody = nil
-	req.Header.Set("Content-Type", "application/json")
-	return c.http.Do(req)
 }
 
 // Run runs a stage and calls onChunk with each chunk, in order and without gaps.
 // It returns the end line. The error is a *RunError.
 func (c *Client) Run(ctx context.Context, r Request, onChunk func(Line) error) (Line, error) {
-	resp, err := c.post(ctx, "/v1/run", r)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answer, err := c.post(ctx, "/v1/run", r, transport.Request{Marked: true})
 	if err != nil {
-		return Line{}, &RunError{Started: !isDialError(err), Cause: err}
+		return Line{}, err
 	}
-	defer closeBody(resp)
-	if resp.StatusCode != http.StatusOK {
-		return Line{}, &RunError{Started: resp.StatusCode != http.StatusServiceUnavailable, Cause: fmt.Errorf("status %s", resp.Status)}
+	defer answer.Close()
+	line, err := readLines(answer, r, onChunk)
+	if err != nil {
+		return Line{}, err
 	}
-	body := &io.LimitedReader{R: resp.Body}
+	defer time.AfterFunc(drainTimeout, cancel).Stop()
+	drain(answer)
+	return line, nil
+}
+
+// readLines reads the lines of the answer to a stage up to the end line, which it returns.
+func readLines(answer *transport.Answered, r Request, onChunk func(Line) error) (Line, error) {
+	body := &io.LimitedReader{R: answer.Body}
 	d := json.NewDecoder(body)
+	identified := false
 	for next := r.FirstChunk; ; {
 		body.N = maxLineBytes
 		line, err := nextLine(d)
@@ -103,6 +130,10 @@
 		if line.ID != r.ID {
 			return Line{}, &RunError{Started: true, Cause: fmt.Errorf("line of request %q", line.ID)}
 		}
+		if !identified && !answer.Identify([]string{r.ID}) {
+			return Line{}, &RunError{Started: true, Cause: errors.New("second answer to a request on its connection")}
+		}
+		identified = true
 		if line.Error != "" {
 			return Line{}, &RunError{Started: line.Started, Cause: errors.New(line.Error)}
 		}
@@ -138,55 +169,50 @@
 	return line, nil
 }
 
-// isDialError reports whether no connection was established, so that nothing was
-// sent.
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
-// closeBody reads what is left of a short body, so that the connection can be
-// reused, and closes it. It does not wait for an upstream that does not end its answer.
-func closeBody(resp *http.Response) {
-	defer time.AfterFunc(drainTimeout, func() { resp.Body.Close() }).Stop()
-	_, _ = io.CopyN(io.Discard, resp.Body, drainBytes)
-	resp.Body.Close()
+// drain reads what is left of a short body, so that the connection can be reused.
+func drain(answer *transport.Answered) {
+	_, _ = io.CopyN(io.Discard, answer.Body, drainBytes)
 }
 
 // Cancel cancels the stage of a Request by its ID.
 func (c *Client) Cancel(ctx context.Context, id string) error {
-	resp, err := c.post(ctx, "/v1/cancel", CancelRequest{ID: id})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answer, err := c.post(ctx, "/v1/cancel", CancelRequest{ID: id}, transport.Request{Cleanup: true})
 	if err != nil {
 		return fmt.Errorf("cancel stage: %w", err)
 	}
-	closeBody(resp)
+	defer answer.Close()
+	defer time.AfterFunc(drainTimeout, cancel).Stop()
+	drain(answer)
 	return nil
 }
 
 // Order sends the upstream an order. If the upstream rejects it, the error is an
 // *OrderError.
 func (c *Client) Order(ctx context.Context, o Order) error {
-	resp, err := c.post(ctx, "/v1/order", o)
+	answer, err := c.post(ctx, "/v1/order", o, transport.Request{})
+	var status *StatusError
+	if errors.As(err, &status) {
+		return &OrderError{Number: o.Number, Status: status.Status}
+	}
 	if err != nil {
 		return fmt.Errorf("send order: %w", err)
 	}
-	defer closeBody(resp)
-	if resp.StatusCode != http.StatusOK {
-		return &OrderError{Number: o.Number, Status: resp.Status}
-	}
+	answer.Close()
 	return nil
 }
 
 // OrderError reports an order that the upstream rejected.
 type OrderError struct {
 	Number uint64
-	Status string
+	Status int
 }
 
 // Error returns the reason together with a remedy.
 func (e *OrderError) Error() string {
-	return fmt.Sprintf("upstream refused order %d (%s); ask the leader for a new order", e.Number, e.Status)
+	return fmt.Sprintf("upstream refused order %d (status %d); ask the leader for a new order", e.Number, e.Status)
 }
 
-// Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+// Close closes idle connections. Requests that follow are not sent.
+func (c *Client) Close() { _ = c.pool.Close() }
