fleet/link: a reply without a message is no reply

A process that got a reply without a message from another one read from it that there was nothing: no configuration, no evacuated zone, no result of a command.

Cause: the reader of replies passes on whatever can be decoded, and an envelope of no bytes, or with a message of another version, can. Callers ask the message for what they want, and a missing one has the zero value of everything.

Replies that break off, are too long or are other bytes were errors already. By reading, no process of this version sends such a reply; none was seen outside of the test.

Why this works: all replies pass RoundTrip, which returns an error for one without a message, so that its callers ask another process. Streams of messages stay as they were: a message that is not known is passed over there.

--- a/internal/fleet/link/pool.go
+++ b/internal/fleet/link/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -131,6 +132,9 @@
 	return newStream(p.cfg.Local, l.conn, raw), nil
 }
 
+// errNoMessage reports a reply without a message, or with one that this version does not know.
+var errNoMessage = errors.New("it has no message known here; bring the processes to one version")
+
 // RoundTrip sends one Envelope on a new stream and returns the reply. A Failure
 // is returned as a *FailureError.
 func (p *Pool) RoundTrip(ctx context.Context, address string, e *fleetpb.Envelope) (*fleetpb.Envelope, error) {
@@ -156,6 +160,9 @@
 	if f := reply.GetFailure(); f != nil {
 		return nil, &FailureError{Failure: f}
 	}
+	if reply.Body == nil {
+		return nil, fmt.Errorf("reply of %s: %w", address, errNoMessage)
+	}
 	return reply, nil
 }
 
