api/gateway: only the rest of a stream continues it

Callers found the text of an error, at times its whole head, in the middle of a stream that had broken off, events that they had already, or the end of a stream that was not complete, if the next upstream answered with another 200.

Cause: every 200 was taken for the rest of the stream: of any media type, with events that begin anew or have no ID, or with nothing.

Statuses other than 200 were handled already, as were an unframed answer without an event and a head whose lines end with CRLF.

Why this works: where two answers meet, the second one must be of the media type of the first, and its first event must have a later ID. It otherwise counts as one that broke off: another upstream may be tried, and the stream is cut if there is none.

An answer of the right type without an event is still the end: the stream may have broken off after its last event, and no event says that it is the last.

--- a/internal/api/gateway/stream.go
+++ b/internal/api/gateway/stream.go
@@ -21,7 +21,7 @@
 // eventBuffer splits a stream of bytes into complete events.
 type eventBuffer struct {
 	buf []byte
-	// lastID is the ID of the last complete event.
+	// lastID is the ID of the last event that has been forwarded.
 	lastID string
 }
 
@@ -35,16 +35,15 @@
 	if end < 0 {
 		return nil
 	}
-	complete := e.buf[:from+end+len(eventEnd)]
-	if id, ok := parseLastID(complete); ok {
-		e.lastID = id
-	}
-	return complete
+	return e.buf[:from+end+len(eventEnd)]
 }
 
 // discard removes n bytes of complete events that have been forwarded. It keeps no large
 // buffer for small events.
 func (e *eventBuffer) discard(n int) {
+	if id, ok := parseLastID(e.buf[:n]); ok {
+		e.lastID = id
+	}
 	rest := e.buf[n:]
 	if cap(e.buf) > 2*freeHeldBytes && len(rest) <= freeHeldBytes {
 		e.buf = append([]byte(nil), rest...)
@@ -78,8 +77,12 @@
 	w      http.ResponseWriter
 	out    *callerOutput
 	events eventBuffer
-	// headerWritten is set once the status and headers have been sent.
+	// headerWritten is set once the status and headers have been sent, those of an answer of
+	// the given media type.
 	headerWritten bool
+	mediaType     string
+	// joining is set from the end of one answer until the first event of the next.
+	joining bool
 	// written is the number of body bytes sent to the caller.
 	written int64
 	// held is the memory of events.
@@ -146,7 +149,7 @@
 // begin writes the header and releases the results of the stages, which the
 // engine no longer needs.
 func (s *stream) begin(a *transport.Answered) {
-	s.headerWritten = true
+	s.headerWritten, s.mediaType = true, mediaType(a)
 	s.writeHeader(s.w, a, -1)
 	s.releaseAll()
 }
@@ -157,6 +160,9 @@
 	if len(complete) == 0 {
 		return nil
 	}
+	if s.joining && !s.joins(complete) {
+		return errOtherStream
+	}
 	if !s.headerWritten {
 		s.begin(a)
 	}
@@ -200,7 +206,8 @@
 	if forwardFailure != nil {
 		return nil, forwardFailure
 	}
-	if next.Status != http.StatusOK {
+	s.joining = s.headerWritten
+	if next.Status != http.StatusOK || s.joining && mediaType(next) != s.mediaType {
 		next.Close()
 		s.server.cfg.Balancer.End(time.Now(), s.choice, balance.DoneInfo{Failed: !asksToWait(next.Reply)})
 		return nil, f
