serve/once: a reply that is not whole is no result

The caller of a paid call could get a part of its result as the whole, or a part of it twice, if the agent's reply lacked or repeated a chunk; it was then recorded, so that the same key got the same result for good.

Cause: the chunks of a reply were joined as they came, without their numbers, their count in the end message or the digest of the input.

No agent was seen to send such a reply outside of the test; its chunks come from one checked answer.

Why this works: a reply that is not whole counts as lost. The outcome and the result are then those that the agent keeps for the attempt, and the call is not made again. The fake agent of the tests sends two numbered chunks and their count now, as an agent does.

--- a/internal/serve/once/attempt.go
+++ b/internal/serve/once/attempt.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"time"
@@ -72,7 +73,7 @@
 	}
 }
 
-// runAttempt runs one attempt. It returns a nil CallEnd if the reply was lost.
+// runAttempt runs one attempt. It returns a nil CallEnd if the reply was lost, or is not whole.
 func (r *Runner) runAttempt(ctx context.Context, c Call, claim *statepb.ClaimState, u route.Upstream) (*fleetpb.CallEnd, []byte) {
 	info := route.PickInfo{Pool: c.Pool, Size: c.Size}
 	inflight := r.cfg.Table.Begin(time.Now(), u, info)
@@ -91,15 +92,22 @@
 		return nil, nil
 	}
 	var output []byte
-	for {
+	for chunks := uint32(0); ; {
 		e, err := st.Recv()
 		if err != nil {
 			return nil, nil
 		}
 		if chunk := e.GetChunk(); chunk != nil && sameCall(chunk.Id, id) {
+			if chunk.Seq != chunks {
+				return nil, nil
+			}
+			chunks++
 			output = append(output, chunk.Data...)
 		}
 		if end := e.GetCallEnd(); end != nil && sameCall(end.Id, id) {
+			if end.Failure == nil && (end.Chunks != chunks || !bytes.Equal(end.Digest, c.Digest)) {
+				return nil, nil
+			}
 			done = route.DoneInfo{ServiceUs: successServiceUs(end), QueueUs: end.QueueUs, Report: end.Word, Failed: end.Failure != nil}
 			return end, output
 		}
--- a/internal/serve/once/runner_test.go
+++ b/internal/serve/once/runner_test.go
@@ -144,10 +144,23 @@
 	if a.failurePoint == "answer lost" {
 		return
 	}
-	_ = st.Send(
-		&fleetpb.Envelope{Body: &fleetpb.Envelope_Chunk{Chunk: &fleetpb.Chunk{Id: call.Id, Data: output}}},
-		&fleetpb.Envelope{Body: &fleetpb.Envelope_CallEnd{CallEnd: end}},
-	)
+	end.Chunks = 2
+	first := &fleetpb.Envelope{Body: &fleetpb.Envelope_Chunk{Chunk: &fleetpb.Chunk{Id: call.Id, Data: output[:2]}}}
+	second := &fleetpb.Envelope{Body: &fleetpb.Envelope_Chunk{Chunk: &fleetpb.Chunk{Id: call.Id, Seq: 1, Data: output[2:]}}}
+	last := &fleetpb.Envelope{Body: &fleetpb.Envelope_CallEnd{CallEnd: end}}
+	switch a.failurePoint {
+	case "first chunk lost":
+		_ = st.Send(second, last)
+	case "last chunk lost":
+		_ = st.Send(first, last)
+	case "chunk twice":
+		_ = st.Send(first, second, second, last)
+	case "end of another call":
+		end.Digest = []byte("other")
+		_ = st.Send(first, second, last)
+	default:
+		_ = st.Send(first, second, last)
+	}
 }
 
 // harness is a set of fake agents with a fake ledger, a routing table and a
@@ -387,3 +400,22 @@
 		t.Errorf("side effect performed %d times after the claim was resolved as not run, want 0", got)
 	}
 }
+
+// A reply with chunks missing or repeated, or to a call with another input, is no reply: the
+// outcome is that which the agent keeps, not what can be joined from the reply.
+func TestBrokenReplyIsNoResult(t *testing.T) {
+	for _, point := range []string{"first chunk lost", "last chunk lost", "chunk twice", "end of another call"} {
+		h := newHarness(t, point)
+		key := fmt.Sprintf("%d-k", time.Now().UnixMilli())
+		result, err := h.runner("e1/1", true).Run(context.Background(), testCall(key))
+		if got, want := callerOutcome(err), "yes"; got != want {
+			t.Errorf("%s: told %q, want %q", point, got, want)
+		}
+		if got, want := string(result.Output), "van 7"; got != want {
+			t.Errorf("%s: output %q, want %q", point, got, want)
+		}
+		if got, want := h.executions(key), 1; got != want {
+			t.Errorf("%s: side effect performed %d times, want %d", point, got, want)
+		}
+	}
+}
