--- a/internal/api/gateway/broken_test.go
+++ b/internal/api/gateway/broken_test.go
@@ -97,6 +97,10 @@
 		"line that begins with a tab":           start + "\tTransfer-Encoding: chunked\r\n\r\n" + chunked,
 		"encoding that HTTP/1.0 has not":        strings.Replace(start, "1.1", "1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n" + chunked,
 		"another protocol":                      strings.Replace(start, "1.1", "2.0", 1) + "\r\n" + event,
+		"cut in a name":                         start + "Transfer-Enc",
+		"cut before the empty line":             start + "Transfer-Encoding: chunked\r\n",
+		"cut in the empty line":                 start + "Content-Length: 0\r\n\r",
+		"cut behind an interim answer":          "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n",
 		"blank in an interim answer":            "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + start + "\r\n" + event,
 	} {
 		t.Run(name, func(t *testing.T) { checkNotForwarded(t, answerRaw(text, nil)) })
