dispatch/upstream: a stage that has sent a chunk has started

Callers of the own interface were told "not run, try again" for a stage whose upstream had sent a part of its result and then an error, or the stage ran at a second upstream.

Cause: of the chunk and the error, the error was believed, which says that the stage has not started unless it says otherwise.

Why this works: any line before the error shows that the stage has started, so that its outcome counts as unknown.

--- a/internal/dispatch/upstream/broken_test.go
+++ b/internal/dispatch/upstream/broken_test.go
@@ -129,6 +129,7 @@
 		"cut head":                       "HTTP/1.1 200 OK\r\nContent-Le",
 		"cut head of a refusal":          refusal[:len(refusal)-2],
 		"no end":                         "HTTP/1.1 200 OK\r\n\r\n" + `{"id":"r","seq":0,"data":"eA=="}`,
+		"error behind a chunk":           "HTTP/1.1 200 OK\r\n\r\n" + `{"id":"r","seq":0,"data":"eA=="}` + "\n" + `{"id":"r","error":"full"}`,
 		"answer to another stage":        wholeAnswer("other"),
 		"redirect":                       "HTTP/1.1 303 See Other\r\nLocation: /elsewhere\r\nContent-Length: 0\r\n\r\n",
 		"refusal behind a broken answer": strings.Replace(refusal, "503", "099", 1) + refusal,
--- a/internal/dispatch/upstream/client.go
+++ b/internal/dispatch/upstream/client.go
@@ -120,8 +120,8 @@
 func readLines(answer *transport.Answered, r Request, onChunk func(Line) error) (Line, error) {
 	body := &io.LimitedReader{R: answer.Body}
 	d := json.NewDecoder(body)
-	identified := false
-	for next := r.FirstChunk; ; {
+	next := r.FirstChunk
+	for first := true; ; first = false {
 		body.N = maxLineBytes
 		line, err := nextLine(d)
 		if err != nil {
@@ -130,12 +130,12 @@
 		if line.ID != r.ID {
 			return Line{}, &RunError{Started: true, Cause: fmt.Errorf("line of request %q", line.ID)}
 		}
-		if !identified && !answer.Identify([]string{r.ID}) {
+		if first && !answer.Identify([]string{r.ID}) {
 			return Line{}, &RunError{Started: true, Cause: errors.New("second answer to a request on its connection")}
 		}
-		identified = true
 		if line.Error != "" {
-			return Line{}, &RunError{Started: line.Started, Cause: errors.New(line.Error)}
+			// A stage that has sent a chunk has started, whatever the line says.
+			return Line{}, &RunError{Started: line.Started || !first, Cause: errors.New(line.Error)}
 		}
 		if line.End {
 			if line.Chunks != next {
