dispatch/transport: an answer with two IDs is not waited past

Callers waited until their deadline behind an answer with the IDs of two requests, as it was dropped like one to another request.

Cause: an answer to another request is followed by the one that is due. One in which two heads have run together may be the one that is due.

Why this works: the reply says that it is ambiguous, and the send ends as one without an answer.

--- a/internal/dispatch/transport/send.go
+++ b/internal/dispatch/transport/send.go
@@ -125,6 +125,9 @@
 			return x.fail(stop, err)
 		}
 		reply := x.pool.cfg.Classify(resp.StatusCode, resp.Header)
+		if reply.Ambiguous {
+			return x.fail(stop, errors.New("the answer names several requests"))
+		}
 		if x.matches(reply) {
 			x.passSignal(reply)
 			return x.outcome(stop, resp, reply)
