--- a/internal/dispatch/transport/endless_test.go
+++ b/internal/dispatch/transport/endless_test.go
@@ -23,35 +23,21 @@
 // of bytes sent.
 func serveEndless(t *testing.T, start, more string) (string, *atomic.Int64) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatalf("listen: %v", err)
-	}
-	t.Cleanup(func() { ln.Close() })
 	sent := &atomic.Int64{}
 	block := strings.Repeat(more, 1+(32<<10)/len(more))
-	go func() {
-		for {
-			c, err := ln.Accept()
+	address := serveConnections(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		for text := start; ; text = block {
+			n, err := io.WriteString(c, text)
+			sent.Add(int64(n))
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				for text := start; ; text = block {
-					n, err := io.WriteString(c, text)
-					sent.Add(int64(n))
-					if err != nil {
-						return
-					}
-				}
-			}()
 		}
-	}()
-	return ln.Addr().String(), sent
+	})
+	return address, sent
 }
 
 // An upstream in trouble may send bytes without end where an answer is due. They take
--- a/internal/dispatch/transport/head.go
+++ b/internal/dispatch/transport/head.go
@@ -113,7 +113,6 @@
 	if !ok || len(line) < statusLineBytes || !isDigit(version[0]) || version[1] != ' ' || len(line) > statusLineBytes && line[statusLineBytes] != ' ' {
 		return &headError{"no status line of HTTP/1.1", line}
 	}
-	// net/http reads past answers below 200, whatever they are.
 	status := line[statusLineBytes-3 : statusLineBytes]
 	if status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]) {
 		return &headError{"a status that is not from 100 to 599", line}
--- a/internal/dispatch/transport/head_test.go
+++ b/internal/dispatch/transport/head_test.go
@@ -12,28 +12,18 @@
 	"time"
 )
 
-// onceUpstream sends the first request that it gets to serve, with its connection.
-func onceUpstream(t *testing.T, serve func(c *net.TCPConn)) Target {
+// serveOnce reads a request of each connection, and serves the connection then.
+func serveOnce(t *testing.T, serve func(c *net.TCPConn)) Target {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatalf("listen: %v", err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		c, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
+	address := serveConnections(t, func(c net.Conn) {
 		r, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
 			return
 		}
 		io.Copy(io.Discard, r.Body)
 		serve(c.(*net.TCPConn))
-	}()
-	return Target{ID: "u", Address: ln.Addr().String()}
+	})
+	return Target{ID: "u", Address: address}
 }
 
 // A head that comes in small pieces, or is longer than the buffer of the connection, is read
@@ -43,7 +33,7 @@
 		text := "HTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 200\r\nId: r1\r\nLong: " + strings.Repeat("x", size) + "\r\nContent-Length: 2\r\n\r\nok"
 		for _, step := range []int{1, 1000, len(text)} {
 			t.Run(fmt.Sprint(size, " in pieces of ", step), func(t *testing.T) {
-				to := onceUpstream(t, func(c *net.TCPConn) {
+				to := serveOnce(t, func(c *net.TCPConn) {
 					for rest := text; rest != ""; rest = rest[min(step, len(rest)):] {
 						io.WriteString(c, rest[:min(step, len(rest))])
 					}
@@ -61,7 +51,7 @@
 func TestBrokenHeadIsRefusedAtOnce(t *testing.T) {
 	for _, text := range []string{"what?\r\n", "HTTP/1.1 000 X\r\n", "HTTP/1.1 200 OK\r\nX Y: z\r\n", "HTTP/1.1 200 OK\r\n A: b\r\n"} {
 		release := make(chan struct{})
-		to := onceUpstream(t, func(c *net.TCPConn) {
+		to := serveOnce(t, func(c *net.TCPConn) {
 			io.WriteString(c, text)
 			<-release
 		})
@@ -81,7 +71,7 @@
 	const text = "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\nContent-Type: text/plain\r\n\r\n"
 	for n := range len(text) {
 		for _, linger := range []int{-1, 0} {
-			to := onceUpstream(t, func(c *net.TCPConn) {
+			to := serveOnce(t, func(c *net.TCPConn) {
 				c.SetLinger(linger)
 				io.WriteString(c, text[:n])
 			})
@@ -129,7 +119,7 @@
 func TestAwaitingHeadEndsWithContext(t *testing.T) {
 	release := make(chan struct{})
 	defer close(release)
-	to := onceUpstream(t, func(c *net.TCPConn) {
+	to := serveOnce(t, func(c *net.TCPConn) {
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nId: r")
 		<-release
 	})
--- a/internal/dispatch/transport/refusal_test.go
+++ b/internal/dispatch/transport/refusal_test.go
@@ -29,14 +29,8 @@
 // given time, and answers all other requests with good.
 func serveCopies(t *testing.T, text string, copies int, when copyTime) Target {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatalf("listen: %v", err)
-	}
-	t.Cleanup(func() { ln.Close() })
 	var refused atomic.Bool
-	serve := func(c net.Conn) {
-		defer c.Close()
+	address := serveConnections(t, func(c net.Conn) {
 		br, late := bufio.NewReader(c), ""
 		for {
 			r, err := http.ReadRequest(br)
@@ -70,17 +64,8 @@
 				late = ""
 			}
 		}
-	}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return Target{ID: "u1", Address: ln.Addr().String(), MaxConnections: 1}
+	})
+	return Target{ID: "u1", Address: address, MaxConnections: 1}
 }
 
 // A refusal that an upstream writes again on its connection, with or without an ID, must not be
--- a/internal/dispatch/transport/transport_test.go
+++ b/internal/dispatch/transport/transport_test.go
@@ -46,28 +46,40 @@
 }
 
 func serve(t *testing.T, script ...answer) *scriptedUpstream {
+	t.Helper()
+	s := &scriptedUpstream{}
+	s.address = serveConnections(t, func(c net.Conn) {
+		s.connections.Add(1)
+		s.run(c, script)
+	})
+	return s
+}
+
+// serveConnections listens on an address, which it returns, and calls serve with each connection
+// that is opened, each in a goroutine of its own. It closes the connection after that.
+func serveConnections(t *testing.T, serve func(c net.Conn)) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatalf("listen: %v", err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	s := &scriptedUpstream{address: ln.Addr().String()}
 	go func() {
 		for {
 			c, err := ln.Accept()
 			if err != nil {
 				return
 			}
-			s.connections.Add(1)
-			go s.run(c, script)
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
 		}
 	}()
-	return s
+	return ln.Addr().String()
 }
 
 func (s *scriptedUpstream) run(c net.Conn, script []answer) {
-	defer c.Close()
 	br := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(br)
@@ -250,27 +262,13 @@
 
 func startCopyingUpstream(t *testing.T, copyAfter int) *copyingUpstream {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatalf("listen: %v", err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	u := &copyingUpstream{address: ln.Addr().String(), runs: make(map[string]int)}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go u.run(c, copyAfter)
-		}
-	}()
+	u := &copyingUpstream{runs: make(map[string]int)}
+	u.address = serveConnections(t, func(c net.Conn) { u.run(c, copyAfter) })
 	return u
 }
 
 // run serves a connection. The copy comes before the answer with the given number.
 func (u *copyingUpstream) run(c net.Conn, copyAfter int) {
-	defer c.Close()
 	br, late := bufio.NewReader(c), ""
 	for n := 0; ; n++ {
 		r, err := http.ReadRequest(br)
--- a/internal/dispatch/transport/upload_test.go
+++ b/internal/dispatch/transport/upload_test.go
@@ -26,30 +26,16 @@
 // connection with end.
 func answerUpload(t *testing.T, text string, end func(c *net.TCPConn, upload io.Reader)) Target {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatalf("listen: %v", err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\n\r\n"+text)
-				time.Sleep(partDelay)
-				end(c.(*net.TCPConn), r.Body)
-			}()
+	address := serveConnections(t, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
 		}
-	}()
-	return Target{ID: "u", Address: ln.Addr().String()}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\n\r\n"+text)
+		time.Sleep(partDelay)
+		end(c.(*net.TCPConn), r.Body)
+	})
+	return Target{ID: "u", Address: address}
 }
 
 // An answer without a length that is reset while the upload is written is not complete, though
