serve/once: the test of broken replies covers each of its checks

With the check of the chunks' numbers, or of the digest, taken out, the test of replies that are not whole still passed: the count of the chunks gave away all of its cases, and the reply to another input held the right result.

The test has chunks in another order now, and a reply to another input holds another result. With one of the three checks taken out at a time it fails, and on the code before them all five cases do: "n 7", "va", "van 7n 7", "n 7va" and "tramn 7" in place of "van 7".

--- a/internal/serve/once/runner_test.go
+++ b/internal/serve/once/runner_test.go
@@ -155,8 +155,11 @@
 		_ = st.Send(first, last)
 	case "chunk twice":
 		_ = st.Send(first, second, second, last)
-	case "end of another call":
+	case "chunks in another order":
+		_ = st.Send(second, first, last)
+	case "reply to another input":
 		end.Digest = []byte("other")
+		first.GetChunk().Data = []byte("tram")
 		_ = st.Send(first, second, last)
 	default:
 		_ = st.Send(first, second, last)
@@ -404,7 +407,7 @@
 // A reply with chunks missing or repeated, or to a call with another input, is no reply: the
 // outcome is that which the agent keeps, not what can be joined from the reply.
 func TestBrokenReplyIsNoResult(t *testing.T) {
-	for _, point := range []string{"first chunk lost", "last chunk lost", "chunk twice", "end of another call"} {
+	for _, point := range []string{"first chunk lost", "last chunk lost", "chunk twice", "chunks in another order", "reply to another input"} {
 		h := newHarness(t, point)
 		key := fmt.Sprintf("%d-k", time.Now().UnixMilli())
 		result, err := h.runner("e1/1", true).Run(context.Background(), testCall(key))
