transport: a success without the upstream's signature is no answer

Cause: nothing read the seal. An answer without an ID was taken for that to the first request of a connection, and one with the ID and no seal for the answer on any connection, also for the rest of a stream.

Why it works: Classify says that a 2xx lacks the seal, and the one reader of answers takes it for no answer to a request with an ID, before anything of it is used. A request that may be repeated goes elsewhere, any other gets a 502 of the gateway, which promises nothing.

--- a/internal/api/gateway/broken_test.go
+++ b/internal/api/gateway/broken_test.go
@@ -107,6 +107,15 @@
 	}
 }
 
+// A success without the signature of an upstream is the page of some other program. It does not
+// reach callers, as an answer of its own or in the place of the rest of a stream.
+func TestUnsignedSuccessReachesCallers(t *testing.T) {
+	const rest = "id: 2\ndata: piece 2\n\n"
+	for _, framing := range []string{"Content-Length: 22\r\n\r\n" + rest, "Transfer-Encoding: chunked\r\n\r\n16\r\n" + rest + "\r\n0\r\n\r\n", "\r\n" + rest} {
+		checkNotForwarded(t, answerRaw("HTTP/1.1 200 OK\r\nId: ID\r\nUnsigned: 1\r\nContent-Type: text/event-stream\r\n"+framing, nil))
+	}
+}
+
 // A status that no answer has must neither reach callers nor be waited past, as an interim answer
 // is: nothing may follow it.
 func TestBrokenStatusReachesCallers(t *testing.T) {
--- a/internal/api/gateway/expected_test.go
+++ b/internal/api/gateway/expected_test.go
@@ -19,7 +19,7 @@
 // classify reads the test headers of an answer. Load has the running and the waiting requests
 // and the slots.
 func classify(_ int, h http.Header) transport.Reply {
-	reply := transport.Reply{ID: h.Get("Id"), NotExecuted: h.Get("Not-Run") != ""}
+	reply := transport.Reply{ID: h.Get("Id"), NotExecuted: h.Get("Not-Run") != "", Unsigned: h.Get("Unsigned") != ""}
 	var load balance.Report
 	if n, _ := fmt.Sscanf(h.Get("Load"), "%d,%d,%d", &load.Running, &load.Waiting, &load.Slots); n == 3 {
 		reply.Load = &load
--- a/internal/dispatch/transport/outcome.go
+++ b/internal/dispatch/transport/outcome.go
@@ -47,8 +47,12 @@
 type Reply struct {
 	// ID is the ID of the answered request, empty if the answer has none.
 	ID string
-	// Ambiguous is set if the answer has the IDs of several requests. It is no answer to any.
+	// Ambiguous is set if the answer has the IDs of several requests or several signatures. It
+	// is no answer to any.
 	Ambiguous bool
+	// Unsigned is set if the answer is a success without the signature of an upstream. It is
+	// no answer to a request with an ID.
+	Unsigned bool
 	// NotExecuted is set if the upstream states that it did not run the request.
 	NotExecuted bool
 	// Misdirected is set if another upstream now has the address.
--- a/internal/dispatch/transport/send.go
+++ b/internal/dispatch/transport/send.go
@@ -129,6 +129,9 @@
 			return x.fail(stop, errors.New("the answer names several requests"))
 		}
 		if x.matches(reply) {
+			if reply.Unsigned && x.request.ID != "" {
+				return x.fail(stop, errors.New("the answer is a success without a signature"))
+			}
 			x.passSignal(reply)
 			return x.outcome(stop, resp, reply)
 		}
