transport: an answer without an ID is not waited past

A failure without an ID was forwarded from a new connection.

Cause: an answer without an ID was skipped like the late answer to another request, and the next one awaited. The page had come in the place of the answer, so nothing followed.

Evidence: TestAnswerWithoutID failed before (pages taken for the answer on new connections, 5 s of waiting on others).

Why it works: additional answers bear IDs, and a connection with unread bytes carries no request; so an answer without an ID can only be in the place of the one that is due. A rejection without an ID is still believed for the first request of a connection, which is closed after it: a second copy could not be recognized.

--- a/internal/dispatch/transport/doc.go
+++ b/internal/dispatch/transport/doc.go
@@ -13,9 +13,10 @@
 // told apart by the ID of the request, or by marks in the answer that no other one has
 // (Request.Marked, Answered.Identify). Requests of the two kinds share no connection. A
 // connection knows all IDs and marks that it has carried, and is given up at maxCarried. A
-// request that is sent again gets a connection that has not carried its ID. An answer
-// without an ID and without marks is the last one on its connection, and a request whose
-// answer has neither gets a connection of its own.
+// request that is sent again gets a connection that has not carried its ID. To a request with
+// an ID, one without is no answer, but for a rejection of the first request on a connection.
+// An answer without an ID and without marks is the last one on its connection, and a
+// request whose answer has neither gets a connection of its own.
 //
 // Config.Permit and Request.Permit are asked right before a request is written, when the
 // time that the choice of the upstream and a new connection took has passed.
--- a/internal/dispatch/transport/send.go
+++ b/internal/dispatch/transport/send.go
@@ -137,7 +137,7 @@
 		}
 		x.pool.cfg.Log.Warn("answer to another request dropped",
 			zap.String("request", x.request.ID), zap.String("upstream", x.conn.target.ID), zap.String("other", reply.ID))
-		if x.request.identity() != byID {
+		if reply.ID == "" || x.request.identity() != byID {
 			break
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes))
@@ -145,7 +145,7 @@
 			return x.fail(stop, errors.Join(errors.New("the connection held an answer to another request"), err))
 		}
 	}
-	return x.fail(stop, errors.New("the connection held answers to other requests only"))
+	return x.fail(stop, errors.New("the connection held no answer to the request"))
 }
 
 // passSignal passes on what the upstream says of itself. It is called for each exchange,
@@ -157,12 +157,12 @@
 	}
 }
 
-// matches reports whether a reply belongs to the request. A reply without an ID is
-// accepted only for the first request on a connection, where no answer to an
-// earlier one can arrive.
+// matches reports whether a reply belongs to the request. A reply without an ID to a request
+// with one does only if it is a rejection of the first request on a connection, where no
+// answer to an earlier one can arrive.
 func (x *exchange) matches(r Reply) bool {
-	if r.ID == "" {
-		return x.request.ID == "" || x.conn.requests == 1
+	if r.ID == "" && r.NotExecuted && x.conn.requests == 1 {
+		return true
 	}
 	return r.ID == x.request.ID
 }
@@ -218,7 +218,8 @@
 
 // outcome returns the outcome of a matching response.
 func (x *exchange) outcome(stop func() bool, resp *http.Response, reply Reply) Outcome {
-	keep := !resp.Close && x.checkWritten()
+	// A second copy of a rejection without an ID would not be recognized.
+	keep := !resp.Close && x.checkWritten() && reply.ID == x.request.ID
 	x.conn.updateIdleTimeout(resp.Header)
 	if reply.NotExecuted {
 		complete := x.accounted(false) && x.discardRejection(resp)
--- a/internal/dispatch/transport/transport_test.go
+++ b/internal/dispatch/transport/transport_test.go
@@ -250,6 +250,38 @@
 	}
 }
 
+// An answer without an ID, or with an empty one, is the page of some other program: it is no
+// answer, and none is waited for behind it until the deadline. A refusal without an ID is believed
+// only where no other answer can be due, and its connection carries no other request.
+func TestAnswerWithoutID(t *testing.T) {
+	const page, refusal = "Content-Length: 5\r\n\r\nwrong", "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for _, tt := range []struct{ name, text, first, later string }{
+		{"success", "HTTP/1.1 200 OK\r\n" + page, "unknown", "unknown"},
+		{"success with an empty ID", "HTTP/1.1 200 OK\r\nId:\r\n" + page, "unknown", "unknown"},
+		{"failure", "HTTP/1.1 404 Not Found\r\n" + page, "unknown", "unknown"},
+		{"redirect", "HTTP/1.1 302 Found\r\nLocation: /\r\n" + page, "unknown", "unknown"},
+		{"refusal", "HTTP/1.1 503 Busy\r\n" + refusal, "rejected 503", "unknown"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			start := time.Now()
+			s := serve(t, answer{text: tt.text}, answer{text: good}, answer{text: tt.text}, answer{text: good})
+			p := newPool(t)
+			for i, want := range []string{tt.first, "answered 200 ok", tt.later, "answered 200 ok"} {
+				if got := send(t, p, s.target(), request(fmt.Sprint("r", i))); got != want {
+					t.Errorf("request %d: got %q, want %q", i, got, want)
+				}
+			}
+			if got, want := s.connections.Load(), int64(3); got != want {
+				t.Errorf("%d connections, want %d", got, want)
+			}
+			if took := time.Since(start); took > time.Second {
+				t.Errorf("took %v, want no wait for other answers", took)
+			}
+		})
+	}
+}
+
 // copyingUpstream rejects the first request on its first connection, and sends a late
 // second copy of that before the next answer on the connection. It runs all others.
 type copyingUpstream struct {
