gateway: no promise that a request has not run from one that may have run it

Cause: handleResponse noted that the request may have run and passed the answer on whatever its status. Only the gateway's own 503 became a 502.

Why it works: such an answer is dropped, and the caller gets a 502 of the gateway, which has neither the upstream's status nor its signature and promises nothing. Requests that may be repeated go on as before.

--- a/internal/api/gateway/closed.go
+++ b/internal/api/gateway/closed.go
@@ -40,6 +40,17 @@
 	return a.Status >= http.StatusInternalServerError && !asksToWait(a.Reply)
 }
 
+// promisesNotRun reports whether a status tells callers that their request has not run and
+// never will. An upstream that gives one without saying so by its headers may have run it.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // asksToWait reports whether the upstream wants no requests for a while.
 func asksToWait(r transport.Reply) bool { return r.Signal.RetryAfter > 0 }
 
--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -374,6 +374,11 @@
 		f.closed = true
 		return nil, f, true
 	}
+	if promisesNotRun(o.Status) && !q.idempotent() {
+		o.Close()
+		q.server.cfg.Balancer.End(now, q.choice, balance.DoneInfo{Failed: upstreamFailed(o), Report: o.Reply.Load})
+		return nil, badGateway(fmt.Sprintf("the upstream may have run the request and answered with status %d", o.Status), nil), false
+	}
 	if o.Reply.Load != nil {
 		q.server.cfg.Balancer.Report(now, u.ID, *o.Reply.Load)
 	}
