gateway: a request visits each stage, not each way through the stages

Cause: pathTo and stagesAfter followed each way through the graph of stages, 2^19 to the last one, before anything waits that a deadline could end.

Why it works: stages depend on earlier ones alone, so one pass in their order gives the longest path. rerun, found by the test, resets each stage once. The steps of other passes over the graph no longer grow with the cube of the stages. TestExpectedTimeOfLongestPath, which held before, shows that the times are the same.

--- a/internal/api/gateway/admission.go
+++ b/internal/api/gateway/admission.go
@@ -63,36 +63,51 @@
 	return []zap.Field{zap.Duration("work", p.work), zap.Duration("wait", p.wait), zap.Duration("wait_last", p.totalWait), zap.Int("rank", int(rank))}
 }
 
-func (p stagePath) longerThan(other stagePath) bool {
-	return p.work+p.wait > other.work+other.wait
+// longer returns the longer one of two paths.
+func (p stagePath) longer(other stagePath) stagePath {
+	if other.work+other.wait > p.work+p.wait {
+		return other
+	}
+	return p
+}
+
+// with returns the path that continues with another one.
+func (p stagePath) with(other stagePath) stagePath {
+	return stagePath{work: p.work + other.work, wait: p.wait + other.wait, totalWait: p.totalWait + other.totalWait}
 }
 
 // criticalPath returns the longest path through the stages to the first event
 // of the response.
 func (q *request) criticalPath() stagePath {
+	return q.longestPath(q.pathOf).with(stagePath{work: q.firstEventTime()})
+}
+
+// stagesTime is the expected time of all stages without any queueing.
+func (q *request) stagesTime() time.Duration {
+	return q.longestPath(func(stage int) stagePath { return stagePath{work: q.expectedCallTime(stage)} }).work
+}
+
+// longestPath returns the longest path through the stages. of returns the path through a single
+// stage. It visits each stage once: the number of paths can double with each stage.
+func (q *request) longestPath(of func(stage int) stagePath) stagePath {
 	var longest stagePath
-	for i := range q.route.Stages {
-		if p := q.pathTo(i); p.longerThan(longest) {
-			longest = p
+	paths := make([]stagePath, len(q.route.Stages))
+	for i, stage := range q.route.Stages {
+		for _, dep := range stage.DependsOn {
+			paths[i] = paths[i].longer(paths[dep])
 		}
+		paths[i] = paths[i].with(of(i))
+		longest = longest.longer(paths[i])
 	}
-	longest.work += q.firstEventTime()
 	return longest
 }
 
-// pathTo returns the longest path to the end of a stage.
-func (q *request) pathTo(stage int) stagePath {
-	var longest stagePath
-	for _, dep := range q.route.Stages[stage].DependsOn {
-		if p := q.pathTo(dep); p.longerThan(longest) {
-			longest = p
-		}
+// pathOf returns the path through a single stage.
+func (q *request) pathOf(stage int) stagePath {
+	callTime := q.expectedCallTime(stage)
+	if callTime == 0 {
+		return stagePath{}
 	}
-	if callTime := q.expectedCallTime(stage); callTime > 0 {
-		wait, totalWait := q.server.cfg.QueueWait(q.route.Stages[stage].Service, q.stageZone(), q.account, q.rank)
-		longest.work += callTime
-		longest.wait += wait
-		longest.totalWait += totalWait
-	}
-	return longest
+	wait, totalWait := q.server.cfg.QueueWait(q.route.Stages[stage].Service, q.stageZone(), q.account, q.rank)
+	return stagePath{work: callTime, wait: wait, totalWait: totalWait}
 }
--- a/internal/api/gateway/expected.go
+++ b/internal/api/gateway/expected.go
@@ -81,19 +81,6 @@
 	return q.server.responseTimes.typical(q.route.Name)
 }
 
-// stagesTime is the expected time of all stages without any queueing.
-func (q *request) stagesTime() time.Duration {
-	ends, last := make([]time.Duration, len(q.route.Stages)), time.Duration(0)
-	for i, stage := range q.route.Stages {
-		for _, dep := range stage.DependsOn {
-			ends[i] = max(ends[i], ends[dep])
-		}
-		ends[i] += q.expectedCallTime(i)
-		last = max(last, ends[i])
-	}
-	return last
-}
-
 // expectedCallTime is the expected time of the calls of a stage, 0 if it has no pieces.
 func (q *request) expectedCallTime(stage int) time.Duration {
 	name := q.route.Stages[stage].Service
--- a/internal/api/gateway/inputs.go
+++ b/internal/api/gateway/inputs.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 )
 
@@ -10,12 +9,14 @@
 // stage comes once, whatever the ways to it.
 func (q *request) resultsOrigin(stages []int) []int {
 	var out []int
+	seen := make([]bool, len(q.route.Stages))
 	var visit func(stages []int)
 	visit = func(stages []int) {
 		for _, i := range stages {
-			if slices.Contains(out, i) {
+			if seen[i] {
 				continue
 			}
+			seen[i] = true
 			out = append(out, i)
 			if q.pieceCount(i) == 0 {
 				visit(q.route.Stages[i].DependsOn)
--- a/internal/api/gateway/stages.go
+++ b/internal/api/gateway/stages.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -192,12 +191,19 @@
 	return q.stagesAfter(stage) + q.firstEventTime()
 }
 
-// stagesAfter is the expected time of the stages that depend on a stage.
+// stagesAfter is the expected time of the stages that depend on a stage. It visits each of them
+// once, like longestPath.
 func (q *request) stagesAfter(stage int) time.Duration {
-	longest := time.Duration(0)
+	longest, ends := time.Duration(0), map[int]time.Duration{stage: 0}
 	for i := stage + 1; i < len(q.route.Stages); i++ {
-		if slices.Contains(q.route.Stages[i].DependsOn, stage) {
-			longest = max(longest, q.expectedTimeAfter(i)+q.stagesAfter(i))
+		start, follows := time.Duration(0), false
+		for _, dep := range q.route.Stages[i].DependsOn {
+			end, ok := ends[dep]
+			start, follows = max(start, end), follows || ok
+		}
+		if follows {
+			ends[i] = start + q.expectedTimeAfter(i)
+			longest = max(longest, ends[i])
 		}
 	}
 	return longest
@@ -279,9 +285,14 @@
 		return false
 	}
 	q.reruns++
+	reset := make([]bool, len(q.route.Stages))
 	for len(stages) > 0 {
 		i := stages[0]
 		stages = stages[1:]
+		if reset[i] {
+			continue
+		}
+		reset[i] = true
 		q.releaseStage(i)
 		q.stages[i] = stageState{}
 		for _, dep := range q.route.Stages[i].DependsOn {
@@ -331,15 +342,16 @@
 // dependent stage without pieces fetches nothing: it passes the results on, and
 // they are kept.
 func (q *request) releaseUnneeded() {
-	for i := range q.stages {
-		dependents, fetched := 0, true
-		for j, s := range q.route.Stages {
-			if slices.Contains(s.DependsOn, i) {
-				dependents++
-				fetched = fetched && q.stages[j].inputsFetched && q.pieceCount(j) > 0
-			}
+	hasDependent, needed := make([]bool, len(q.stages)), make([]bool, len(q.stages))
+	for i, s := range q.route.Stages {
+		fetched := q.stages[i].inputsFetched && q.pieceCount(i) > 0
+		for _, dep := range s.DependsOn {
+			hasDependent[dep] = true
+			needed[dep] = needed[dep] || !fetched
 		}
-		if dependents > 0 && fetched {
+	}
+	for i := range q.stages {
+		if hasDependent[i] && !needed[i] {
 			q.releaseStage(i)
 		}
 	}
--- a/internal/serve/pace/chain.go
+++ b/internal/serve/pace/chain.go
@@ -90,13 +90,13 @@
 // its inputs exist and the backlog of its service has been worked off, whichever is later.
 func (c Chain) forecast(which queues, delay time.Duration) Forecast {
 	f := Forecast{Stages: make([]Span, len(c.Stages)), End: delay}
-	expiries := make([]expiry, len(c.Stages))
-	var final expiry
+	expiries, hasDependent := make([]expiry, len(c.Stages)), make([]bool, len(c.Stages))
 	for i, s := range c.Stages {
 		start := delay
 		var inputs expiry
 		for _, dep := range s.DependsOn {
 			start, inputs = max(start, f.Stages[dep].End), inputs.first(expiries[dep])
+			hasDependent[dep] = true
 		}
 		expiries[i] = inputs
 		if s.CallTime > 0 {
@@ -106,8 +106,11 @@
 		}
 		f.Stages[i] = Span{Start: start, End: start + s.CallTime}
 		f.End = max(f.End, f.Stages[i].End)
-		if !c.hasDependent(i) {
-			final = final.first(expiries[i])
+	}
+	var final expiry
+	for i, e := range expiries {
+		if !hasDependent[i] {
+			final = final.first(e)
 		}
 	}
 	f.fetch(f.End+c.Fetch, final)
@@ -115,17 +118,6 @@
 	return f
 }
 
-func (c Chain) hasDependent(stage int) bool {
-	for _, s := range c.Stages[stage+1:] {
-		for _, dep := range s.DependsOn {
-			if dep == stage {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 func (s Stage) backlog(which queues) time.Duration {
 	switch {
 	case which == noQueues:
