--- a/internal/state/disk/store.go
+++ b/internal/state/disk/store.go
@@ -214,27 +214,35 @@
 
 func (s *Store) writeSnapshot(snap *statepb.Snapshot) error {
 	final := fileName(snapshotPrefix, s.generation)
-	f, err := s.fs.Create(final + tempSuffix)
-	if err != nil {
-		return fmt.Errorf("create snapshot: %w", err)
-	}
 	b, err := encodeRecord(snap)
 	if err != nil {
 		return err
 	}
+	if err := s.writeFile(final+tempSuffix, b); err != nil {
+		return err
+	}
+	if err := s.fs.Rename(final+tempSuffix, final); err != nil {
+		return fmt.Errorf("rename snapshot: %w", err)
+	}
+	return s.fs.SyncDir()
+}
+
+// writeFile creates a file with the content b and syncs it. The file is closed in any case.
+func (s *Store) writeFile(name string, b []byte) error {
+	f, err := s.fs.Create(name)
+	if err != nil {
+		return fmt.Errorf("create %s: %w", name, err)
+	}
 	if _, err := f.Write(b); err != nil {
-		return fmt.Errorf("write snapshot: %w", err)
+		return fmt.Errorf("write %s: %w", name, errors.Join(err, f.Close()))
 	}
 	if err := f.Sync(); err != nil {
-		return fmt.Errorf("sync snapshot: %w", err)
+		return fmt.Errorf("sync %s: %w", name, errors.Join(err, f.Close()))
 	}
 	if err := f.Close(); err != nil {
-		return fmt.Errorf("close snapshot: %w", err)
-	}
-	if err := s.fs.Rename(final+tempSuffix, final); err != nil {
-		return fmt.Errorf("rename snapshot: %w", err)
+		return fmt.Errorf("close %s: %w", name, err)
 	}
-	return s.fs.SyncDir()
+	return nil
 }
 
 // removeOldGenerations deletes the files of all other generations.
--- a/internal/state/disk/store_test.go
+++ b/internal/state/disk/store_test.go
@@ -29,6 +29,8 @@
 	// crashAfter is the number of syncs, renames and removals until one fails;
 	// 0 lets all succeed.
 	crashAfter int
+	// open is the number of open files.
+	open int
 }
 
 var errCrash = errors.New("crash")
@@ -84,7 +86,10 @@
 	return nil
 }
 
-func (f memFile) Close() error { return nil }
+func (f memFile) Close() error {
+	f.m.open--
+	return nil
+}
 
 func (m *memFS) List() ([]string, error) {
 	var out []string
@@ -104,10 +109,14 @@
 
 func (m *memFS) Create(name string) (File, error) {
 	m.written[name] = nil
+	m.open++
 	return memFile{m, name}, nil
 }
 
-func (m *memFS) Append(name string) (File, error) { return memFile{m, name}, nil }
+func (m *memFS) Append(name string) (File, error) {
+	m.open++
+	return memFile{m, name}, nil
+}
 
 func (m *memFS) Rename(from, to string) error {
 	if err := m.countdown(); err != nil {
@@ -300,7 +309,8 @@
 }
 
 // A write that fails on a full disk leaves the store unchanged, whichever write
-// it is. Retried once there is free space, it is there after a restart.
+// it is, and no file open but the log: it is retried many times. Retried once there is
+// free space, it is there after a restart.
 func TestFullDisk(t *testing.T) {
 	for free := range 400 {
 		m := newMemFS()
@@ -338,6 +348,9 @@
 				t.Fatalf("%d bytes free, step %d: %v", free, i, err)
 			}
 		}
+		if got, want := m.open, 1; got != want {
+			t.Errorf("%d bytes free, %d writes failed: %d files are open, want %d", free, failed, got, want)
+		}
 		m.crash(0)
 		_, recovered, err := Open(Config{FS: m, NewIdentity: func() uint64 { return 8 }})
 		if err != nil {
