--- a/internal/api/gateway/request.go
+++ b/internal/api/gateway/request.go
@@ -309,53 +309,69 @@
 	case *transport.Answered:
 		return q.handleResponse(now, u, o)
 	case transport.Rejected:
-		s.cfg.Balancer.End(now, q.choice, balance.DoneInfo{
-			Full: true, Report: o.Reply.Load,
-			CapacityUnknown: o.Status != http.StatusServiceUnavailable && o.Status != http.StatusTooManyRequests || asksToWait(o.Reply),
-		})
-		f = unavailable(fmt.Sprintf("the upstream did not take the request: status %d", o.Status), defaultRetryAfter)
-		if f.inputsExpired = o.Status == http.StatusConflict && len(q.stages) > 0; f.inputsExpired {
-			return nil, f, false
-		}
-		if asksToWait(o.Reply) {
-			if !q.allowReturn(u, o.Reply) {
-				return nil, q.rejected(f), false
-			}
-			f.closed = true
-			return nil, f, true
-		}
-		return nil, f, q.allowRetry(u, "rejected by the upstream", nil)
+		f, retry = q.handleRejection(now, u, o)
 	case transport.NotSent:
-		q.attempts--
-		if f := q.deferSend(ctx, o.Err); f != nil {
-			s.cfg.Balancer.Cancel(q.choice)
-			return nil, f, true
-		}
-		if q.keptBack(u, o.Err) {
-			s.cfg.Balancer.Cancel(q.choice)
-			return nil, &failure{status: http.StatusServiceUnavailable, reason: o.Err.Error(), closed: true}, true
-		}
-		s.cfg.Balancer.End(now, q.choice, balance.DoneInfo{Unreachable: !o.Local})
-		q.logAttempt("could not send request to upstream", u, o.Err)
-		if ctx.Err() != nil {
-			return nil, q.contextFailure(nil), false
-		}
-		if f := promptFailure(o.Err); f != nil {
-			return nil, f, false
-		}
-		return nil, unavailable("the upstream could not be reached", defaultRetryAfter), true
+		f, retry = q.handleNotSent(ctx, now, u, o)
 	case transport.Unknown:
-		s.cfg.Balancer.End(now, q.choice, balance.DoneInfo{Failed: ctx.Err() == nil, GaveUp: ctx.Err() != nil})
-		q.mayHaveRun = true
-		q.recordBreak(ctx, o.Err)
-		f = badGateway("the upstream's answer was lost", o.Err)
-		if ctx.Err() != nil {
-			return nil, q.contextFailure(f), false
-		}
-		return nil, f, q.idempotent() && q.allowRetry(u, "response lost", o.Err)
+		f, retry = q.handleLostResponse(ctx, now, u, o)
 	default:
 		panic(fmt.Sprintf("gateway: unhandled outcome %T", o))
 	}
+	return nil, f, retry
+}
+
+// handleRejection decides what becomes of a request that its upstream has not run.
+func (q *request) handleRejection(now time.Time, u catalog.Upstream, o transport.Rejected) (f *failure, retry bool) {
+	q.server.cfg.Balancer.End(now, q.choice, balance.DoneInfo{
+		Full: true, Report: o.Reply.Load,
+		CapacityUnknown: o.Status != http.StatusServiceUnavailable && o.Status != http.StatusTooManyRequests || asksToWait(o.Reply),
+	})
+	f = unavailable(fmt.Sprintf("the upstream did not take the request: status %d", o.Status), defaultRetryAfter)
+	if f.inputsExpired = o.Status == http.StatusConflict && len(q.stages) > 0; f.inputsExpired {
+		return f, false
+	}
+	if !asksToWait(o.Reply) {
+		return f, q.allowRetry(u, "rejected by the upstream", nil)
+	}
+	if !q.allowReturn(u, o.Reply) {
+		return q.rejected(f), false
+	}
+	f.closed = true
+	return f, true
+}
+
+// handleNotSent decides what becomes of a request of which its upstream got nothing.
+func (q *request) handleNotSent(ctx context.Context, now time.Time, u catalog.Upstream, o transport.NotSent) (f *failure, retry bool) {
+	q.attempts--
+	if f := q.deferSend(ctx, o.Err); f != nil {
+		q.server.cfg.Balancer.Cancel(q.choice)
+		return f, true
+	}
+	if q.keptBack(u, o.Err) {
+		q.server.cfg.Balancer.Cancel(q.choice)
+		return &failure{status: http.StatusServiceUnavailable, reason: o.Err.Error(), closed: true}, true
+	}
+	q.server.cfg.Balancer.End(now, q.choice, balance.DoneInfo{Unreachable: !o.Local})
+	q.logAttempt("could not send request to upstream", u, o.Err)
+	if ctx.Err() != nil {
+		return q.contextFailure(nil), false
+	}
+	if f := promptFailure(o.Err); f != nil {
+		return f, false
+	}
+	return unavailable("the upstream could not be reached", defaultRetryAfter), true
+}
+
+// handleLostResponse decides what becomes of a request that its upstream may have run.
+func (q *request) handleLostResponse(ctx context.Context, now time.Time, u catalog.Upstream, o transport.Unknown) (f *failure, retry bool) {
+	q.server.cfg.Balancer.End(now, q.choice, balance.DoneInfo{Failed: ctx.Err() == nil, GaveUp: ctx.Err() != nil})
+	q.mayHaveRun = true
+	q.recordBreak(ctx, o.Err)
+	f = badGateway("the upstream's answer was lost", o.Err)
+	if ctx.Err() != nil {
+		return q.contextFailure(f), false
+	}
+	return f, q.idempotent() && q.allowRetry(u, "response lost", o.Err)
 }
 
 // handleResponse decides whether a response is returned to the caller or the
