--- a/internal/api/gateway/admission.go
+++ b/internal/api/gateway/admission.go
@@ -87,16 +87,16 @@
 	return q.longestPath(func(stage int) stagePath { return stagePath{work: q.expectedCallTime(stage)} }).work
 }
 
-// longestPath returns the longest path through the stages. of returns the path through a single
-// stage. It visits each stage once: the number of paths can double with each stage.
-func (q *request) longestPath(of func(stage int) stagePath) stagePath {
+// longestPath returns the longest path through the stages. through returns the path through a
+// single stage. It visits each stage once: the number of paths can double with each stage.
+func (q *request) longestPath(through func(stage int) stagePath) stagePath {
 	var longest stagePath
 	paths := make([]stagePath, len(q.route.Stages))
 	for i, stage := range q.route.Stages {
 		for _, dep := range stage.DependsOn {
 			paths[i] = paths[i].longer(paths[dep])
 		}
-		paths[i] = paths[i].with(of(i))
+		paths[i] = paths[i].with(through(i))
 		longest = longest.longer(paths[i])
 	}
 	return longest
--- a/internal/api/gateway/inputs.go
+++ b/internal/api/gateway/inputs.go
@@ -1,8 +1,6 @@
 package gateway
 
-import (
-	"time"
-)
+import "time"
 
 // resultsOrigin returns the given stages and, for each without pieces, the stages that it
 // depends on, in turn: a stage without pieces passes its inputs on in place of results. Each
--- a/internal/dispatch/transport/identity.go
+++ b/internal/dispatch/transport/identity.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// answerIsSigned reports whether a success must have a signature: that to a call with marks
+// has none, and the same holds for calls whose answers are interchangeable.
+func (r Request) answerIsSigned() bool {
+	of := r.identity()
+	return of == byID || of == byConnection
+}
+
 // fits reports whether a request may be sent on an idle connection. Requests whose answers
 // are told apart in different ways share none, as the answer to one could be taken for that
 // to another.
--- a/internal/dispatch/transport/outcome.go
+++ b/internal/dispatch/transport/outcome.go
@@ -51,7 +51,7 @@
 	// is no answer to any.
 	Ambiguous bool
 	// Unsigned is set if the answer is a success without the signature of an upstream. It is
-	// no answer to a request with an ID.
+	// an answer only to requests with Marked or Cleanup set.
 	Unsigned bool
 	// NotExecuted is set if the upstream states that it did not run the request.
 	NotExecuted bool
--- a/internal/dispatch/transport/send.go
+++ b/internal/dispatch/transport/send.go
@@ -126,10 +126,10 @@
 		}
 		reply := x.pool.cfg.Classify(resp.StatusCode, resp.Header)
 		if reply.Ambiguous {
-			return x.fail(stop, errors.New("the answer names several requests"))
+			return x.fail(stop, errors.New("the answer names several requests or signatures"))
 		}
 		if x.matches(reply) {
-			if reply.Unsigned && x.request.ID != "" {
+			if reply.Unsigned && x.request.answerIsSigned() {
 				return x.fail(stop, errors.New("the answer is a success without a signature"))
 			}
 			x.passSignal(reply)
