--- a/internal/api/gateway/densestages_test.go
+++ b/internal/api/gateway/densestages_test.go
@@ -69,7 +69,7 @@
 		{Service: "p"},
 		{Service: "p", DependsOn: []int{0}},
 		{Service: "p", DependsOn: []int{2, 2}},
-		{Service: "p", DependsOn: []int{0, 1, 3}},
+		{Service: "p", DependsOn: []int{0, 3, 1}},
 		{Service: "p", DependsOn: []int{1}},
 	}
 	f := newFixture(t, document(stages...))
