review: a configuration that two disks hold is acknowledged where two may be lost

At the first start the seeds alone form the log, with three voters, also where five are wanted as two disks may be lost at once. Two of them are enough to acknowledge the first configuration; the other voters are added later.

--- a/review/_src3/cases.go
+++ b/review/_src3/cases.go
@@ -13,6 +13,11 @@
 	// formationLimit is how long the first configuration is sent again. It is many times
 	// contactTime and ackTime together.
 	formationLimit = 50 * time.Second
+	// recoverTime is the bound recover-s of the large deployment, largeContactTime its
+	// contact-ms, and downTime how long the machines of the final fault are down.
+	recoverTime      = 15 * time.Second
+	largeContactTime = 5 * time.Second
+	downTime         = 1100 * time.Millisecond
 	// clientTimeout is the time limit of the clients.
 	clientTimeout = 4 * time.Second
 )
@@ -21,6 +26,38 @@
 	return []object{{"name": "north", "api-keys": []string{"k1"}, "priority": 1}, {"name": "south", "api-keys": []string{"k2"}, "priority": 1}}
 }
 
+// lostConfig starts five control machines with a disk, of which two may be lost at once, for the
+// first time. Right after the first acknowledgement, the machine that has given it and another
+// one lose their disks. The configuration has to be read back.
+func lostConfig(f *fleet, trouble bool) bool {
+	f.faults = 2
+	for i := range 5 {
+		f.start(f.addControl(i, true))
+	}
+	for i := range 2 {
+		f.start(f.addGateway(i))
+	}
+	text := config(1, []object{plainRoute("safe", "safe", "shop")}, []object{plainService("shop")}, tenants())
+	giver := f.putConfig(1, text, time.Now().Add(formationLimit))
+	if giver == nil {
+		panic(errSetup{fmt.Errorf("the first configuration is not acknowledged")})
+	}
+	if trouble {
+		other := f.controls[0]
+		if other == giver {
+			other = f.controls[1]
+		}
+		f.finalFault(giver, other)
+	} else {
+		time.Sleep(downTime)
+	}
+	time.Sleep(recoverTime)
+	for _, p := range f.controls {
+		f.rec.printf("process %s runs: %v", p.name, p.alive())
+	}
+	return !f.readBack(text, time.Now().Add(2*largeContactTime))
+}
+
 // firstStart kills the process of one control machine 0.2 s after it was started for the first
 // time, and starts it again with bootstrap=false, as the platform does. The first
 // configuration has to be acknowledged.
@@ -44,7 +81,7 @@
 	}
 	restarted := time.Now()
 	text := config(1, []object{plainRoute("safe", "safe", "shop")}, []object{plainService("shop")}, tenants())
-	acked := f.putConfig(1, text, restarted.Add(formationLimit))
+	acked := f.putConfig(1, text, restarted.Add(formationLimit)) != nil
 	took := time.Since(restarted)
 	f.rec.printf("acknowledged: %v, %.1f s after the last start", acked, took.Seconds())
 	for _, p := range f.controls {
@@ -65,7 +102,7 @@
 	if trouble {
 		open := plainRoute("open", "unsafe", "shop")
 		open["path-prefix"], open["allow-anonymous"] = "/orders/open/", true
-		if !f.putConfig(2, config(2, append(routes, open), []object{plainService("shop")}, tenants()), time.Now().Add(10*time.Second)) {
+		if f.putConfig(2, config(2, append(routes, open), []object{plainService("shop")}, tenants()), time.Now().Add(10*time.Second)) == nil {
 			panic(errSetup{fmt.Errorf("the second configuration is not acknowledged")})
 		}
 	}
--- a/review/_src3/fleet.go
+++ b/review/_src3/fleet.go
@@ -33,17 +33,21 @@
 // instance is one process of the project.
 type instance struct {
 	name, role, settings, log string
-	cmd                       *exec.Cmd
-	ended                     chan struct{}
-	stopped                   bool
+	// url is that of the control address, empty for a gateway.
+	url     string
+	cmd     *exec.Cmd
+	ended   chan struct{}
+	stopped bool
 }
 
 // fleet runs registries with a disk and gateways as processes on loopback addresses.
 type fleet struct {
-	rec      *record
-	dir      string
-	ports    map[string]int
-	seeds    []string
+	rec   *record
+	dir   string
+	ports map[string]int
+	seeds []string
+	// faults is the field fault-tolerance.machines of the platform.
+	faults   int
 	mu       sync.Mutex
 	all      []*instance
 	controls []*instance
@@ -64,7 +68,7 @@
 func newFleet(rec *record) *fleet {
 	dir, err := os.MkdirTemp("", "review3-")
 	must(err)
-	f := &fleet{rec: rec, dir: dir, ports: make(map[string]int)}
+	f := &fleet{rec: rec, dir: dir, ports: make(map[string]int), faults: 1}
 	var open []net.Listener
 	for _, name := range []string{"front", "ready", "control", "inner0", "inner1"} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -87,7 +91,7 @@
 
 func gatewayHost(i int) string { return fmt.Sprintf("127.0.1.%d", i+1) }
 
-func zone(i int) string { return "z" + string(rune('a'+i%3)) }
+func zone(i int) string { return "z" + string(rune('a'+i)) }
 
 // common is the part of the settings that all processes have, as deploy/settings.tmpl
 // renders it for a small deployment.
@@ -103,11 +107,11 @@
 // addControl writes the settings of a registry. first is the field bootstrap of the platform.
 func (f *fleet) addControl(i int, first bool) *instance {
 	host := controlHost(i)
-	p := &instance{name: fmt.Sprint("control-", i+1), role: "registry"}
+	p := &instance{name: fmt.Sprint("control-", i+1), role: "registry", url: "http://" + f.address(host, "control")}
 	f.controls = append(f.controls, p)
 	f.writeSettings(p, f.common(p.name+"/registry", zone(i))+
 		fmt.Sprintf("[listen]\nregistry = %q\nlink = %q\n", f.address(host, "control"), f.address(host, "inner1"))+
-		fmt.Sprintf("[replica]\ndata_dir = %q\nfirst = %t\nfaults = 1\n", filepath.Join(f.dir, "data-"+p.name), first)+tail)
+		fmt.Sprintf("[replica]\ndata_dir = %q\nfirst = %t\nfaults = %d\n", filepath.Join(f.dir, "data-"+p.name), first, f.faults)+tail)
 	return p
 }
 
@@ -117,7 +121,7 @@
 	f.gateways = append(f.gateways, p)
 	f.writeSettings(p, f.common(p.name+"/gateway", zone(i))+
 		fmt.Sprintf("[listen]\ncallers = %q\nready = %q\nlink = %q\n", f.address(host, "front"), f.address(host, "ready"), f.address(host, "inner0"))+
-		"[replica]\nrelay = true\nfirst = false\nfaults = 1\n"+tail)
+		fmt.Sprintf("[replica]\nrelay = true\nfirst = false\nfaults = %d\n", f.faults)+tail)
 	return p
 }
 
@@ -133,6 +137,12 @@
 	must(os.WriteFile(p.settings, bytes.Replace(text, []byte("first = true"), []byte("first = false"), 1), 0o600))
 }
 
+// wipe removes the data folder of an instance that does not run.
+func (f *fleet) wipe(p *instance) {
+	f.rec.printf("process %s: data folder emptied", p.name)
+	must(os.RemoveAll(filepath.Join(f.dir, "data-"+p.name)))
+}
+
 // start runs an instance with the command of the deploy file.
 func (f *fleet) start(p *instance) {
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -208,21 +218,56 @@
 	return resp.StatusCode, string(text)
 }
 
-// putConfig sends a configuration until it is acknowledged, one control instance after the
-// other, and reports whether that was so before the end.
-func (f *fleet) putConfig(version int, text string, end time.Time) bool {
+// putConfig sends a configuration until it is acknowledged, to one control instance of the seeds
+// after the other. It returns the one that has acknowledged it, nil if none has before the end.
+func (f *fleet) putConfig(version int, text string, end time.Time) *instance {
 	for i := 0; time.Now().Before(end); i++ {
-		host := controlHost(i % 3)
-		status, body := call(http.MethodPut, "http://"+f.address(host, "control")+"/v1/config", text, time.Second)
-		f.rec.printf("operator: configuration %d to control-%d: %d %.120s", version, i%3+1, status, strings.TrimSpace(body))
+		p := f.controls[i%len(f.seeds)]
+		status, body := call(http.MethodPut, p.url+"/v1/config", text, time.Second)
+		f.rec.printf("operator: configuration %d to %s: %d %.120s", version, p.name, status, strings.TrimSpace(body))
 		if status == http.StatusOK {
+			return p
+		}
+		time.Sleep(retryDelay)
+	}
+	return nil
+}
+
+// retryDelay is the pause of the operator between two calls.
+const retryDelay = 200 * time.Millisecond
+
+// readBack reads the configuration until it is the one sent, from one control instance after the
+// other, and reports whether that was so before the end.
+func (f *fleet) readBack(text string, end time.Time) bool {
+	for i := 0; time.Now().Before(end); i++ {
+		p := f.controls[i%len(f.controls)]
+		status, body := call(http.MethodGet, p.url+"/v1/config", "", time.Second)
+		f.rec.printf("operator: reads at %s: %d, the one sent: %v, %.120s", p.name, status, body == text, strings.TrimSpace(body))
+		if status == http.StatusOK && body == text {
 			return true
 		}
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(retryDelay)
 	}
 	return false
 }
 
+// finalFault ends the processes of some machines at one moment, empties their disks and starts
+// them again after downTime.
+func (f *fleet) finalFault(lost ...*instance) {
+	for _, p := range lost {
+		f.signal(p, syscall.SIGKILL)
+	}
+	for _, p := range lost {
+		<-p.ended
+		f.wipe(p)
+		f.restartFlag(p)
+	}
+	time.Sleep(downTime)
+	for _, p := range lost {
+		f.start(p)
+	}
+}
+
 // awaitReady waits until all gateways are ready.
 func (f *fleet) awaitReady(limit time.Duration) {
 	end := time.Now().Add(limit)
@@ -249,7 +294,7 @@
 	for i := range gateways {
 		f.start(f.addGateway(i))
 	}
-	if !f.putConfig(1, config, time.Now().Add(20*time.Second)) {
+	if f.putConfig(1, config, time.Now().Add(20*time.Second)) == nil {
 		panic(errSetup{fmt.Errorf("the first configuration is not acknowledged")})
 	}
 	f.awaitReady(10 * time.Second)
--- a/review/_src3/main.go
+++ b/review/_src3/main.go
@@ -13,6 +13,7 @@
 )
 
 var cases = map[string]func(f *fleet, trouble bool) (broken bool){
+	"lost-config": lostConfig,
 	"first-start": firstStart,
 	"anonymous":   anonymous,
 }
