--- a/review/_src3/main.go
+++ b/review/_src3/main.go
@@ -8,7 +8,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -45,6 +47,13 @@
 	}()
 	f := newFleet(rec)
 	defer f.close()
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stops
+		f.close()
+		os.Exit(2)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	if cases[os.Args[1]](f, trouble) {
 		rec.printf("the rule was BROKEN")
