gateway: a key decides the account on every route

On such routes the requests also took the rank, the share, the queue of pieces and the memory of requests without a key, and a key that no account holds ran with 200.

Cause: newRequest looked the account up only where the route wants a key. The log line of such a request shows the new document, its route and an empty account; the same keys work on the routes beside it at the same time. So neither a late document nor the headers on the way to the upstream are at fault.

The credential of a request is now a sealed type, and one function reads it on every route: without a key a request is refused or, on an open route, nobody's; with one it belongs to the account that holds it, or gets 401.

Before, TestOpenRoutesKeepAccounts failed on each of the five kinds of routes at both entries ("added open routes, entry 0, route of kind safe, k1: an upstream ran it for account "", want "north""), the same on routes that have become open and after an exchange of keys, and a key that was gone ran (status 200, want 401). TestOpenRouteChargesAccount, TestOpenRouteCountsRefusalsOfAccount, TestOpenRouteHoldsMemoryOfAccount and TestCredentials failed too. In TestRequestKeepsItsAccount only the later request of each case failed: tries, resumes and queued pieces kept the account before this change as well.

--- a/internal/api/gateway/gateway_test.go
+++ b/internal/api/gateway/gateway_test.go
@@ -30,7 +30,7 @@
 	return HeaderCodec{
 		Parse: func(h http.Header) (Attributes, error) {
 			left, _ := strconv.Atoi(h.Get("Left-Ms"))
-			a := Attributes{ID: h.Get("Id"), Key: h.Get("Key"), Left: time.Duration(left) * time.Millisecond, PieceKey: "pk"}
+			a := Attributes{ID: h.Get("Id"), Credential: testCredential(h.Get("Key")), Left: time.Duration(left) * time.Millisecond, PieceKey: "pk"}
 			for _, id := range strings.Split(h.Get("Prompt"), ",") {
 				if id != "" {
 					a.Prompt = append(a.Prompt, PromptSegment{ID: id})
@@ -63,6 +63,14 @@
 	}
 }
 
+// testCredential returns the credential of a header.
+func testCredential(text string) Credential {
+	if text == "" {
+		return NoKey{}
+	}
+	return Key{Value: text}
+}
+
 // upstream is a test server that counts the requests it receives.
 type upstream struct {
 	*httptest.Server
--- a/internal/api/gateway/headers.go
+++ b/internal/api/gateway/headers.go
@@ -13,14 +13,26 @@
 	Tokens int
 }
 
+// Credential is what a request shows of its client account: NoKey or Key.
+type Credential interface{ isCredential() }
+
+// NoKey is the credential of a request that carries no API key.
+type NoKey struct{}
+
+// Key is an API key. An account may hold it or not.
+type Key struct{ Value string }
+
+func (NoKey) isCredential() {}
+func (Key) isCredential()   {}
+
 // Attributes holds what the headers of a request say.
 type Attributes struct {
 	// ID identifies this attempt of the caller.
 	ID string
 	// Left is the time until the caller's deadline, 0 if it has set none.
 	Left time.Duration
-	// Key is the API key of the client account, empty if there is none.
-	Key string
+	// Credential is what the caller shows of its client account.
+	Credential Credential
 	// Prompt lists the segments of the prompt in order.
 	Prompt []PromptSegment
 	// OutputTokens is the greatest number of tokens to generate, 0 if it is not known.
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -303,13 +304,8 @@
 		return q, &failure{status: http.StatusNotFound, reason: "no route for the host and path; check both"}
 	}
 	q.index, q.route, q.rank = x, route, site.RankOf(nil, route.Priority)
-	if !route.AllowAnonymous && x.RequiresKey() {
-		account, ok := x.Account(attributes.Key)
-		if !ok {
-			return q, &failure{status: http.StatusUnauthorized, reason: "the key is not known; send an account's key"}
-		}
-		q.account = account.Name
-		q.rank = site.RankOf(account.Priority, route.Priority)
+	if f := q.authenticate(); f != nil {
+		return q, f
 	}
 	q.deadline = q.start.Add(route.Timeout)
 	if attributes.Left > 0 && attributes.Left < route.Timeout {
@@ -324,6 +320,38 @@
 	return q, nil
 }
 
+// authenticate sets the account of a request and the rank that follows from it. A key counts
+// on every route: one that allows anonymous requests admits those that carry none, and no
+// others without their account. The account stays that of the request until it ends, whatever
+// later documents say.
+func (q *request) authenticate() *failure {
+	if !q.index.RequiresKey() {
+		return nil
+	}
+	switch c := q.Credential.(type) {
+	case NoKey:
+		if q.route.AllowAnonymous {
+			return nil
+		}
+		return unauthorized("the request has no key; send an account's key")
+	case Key:
+		account, ok := q.index.Account(c.Value)
+		if !ok {
+			return unauthorized("the key is not known; send an account's key")
+		}
+		q.account = account.Name
+		q.rank = site.RankOf(account.Priority, q.route.Priority)
+		return nil
+	default:
+		panic(fmt.Sprintf("gateway: unhandled credential %T", c))
+	}
+}
+
+// unauthorized returns a 401 for a request whose account is not known.
+func unauthorized(reason string) *failure {
+	return &failure{status: http.StatusUnauthorized, reason: reason}
+}
+
 // headerBytes returns the approximate size of a request's header on the wire.
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
--- a/internal/operator/check/entries.go
+++ b/internal/operator/check/entries.go
@@ -132,7 +132,7 @@
 	}
 	for _, k := range a.Keys {
 		if k == "" {
-			c.warn(RuleEmptyKey, accountEntry(a), "keys", "an empty key lets requests without a key in", "replace the key")
+			c.warn(RuleEmptyKey, accountEntry(a), "keys", "requests that send the scheme of a key and no key belong to it", "replace the key")
 		}
 	}
 }
