--- a/internal/api/gateway/account_test.go
+++ b/internal/api/gateway/account_test.go
@@ -162,7 +162,7 @@
 // Guards against a route that allows anonymous requests and lets in one that names a key
 // without being anybody's, and against keys that are asked for where no account exists.
 func TestCredentials(t *testing.T) {
-	const k, unknown = "k", "other"
+	const k, unknown, several = "k", "other", "k,other"
 	withoutAccounts := document()
 	withoutAccounts.Accounts = nil
 	for _, tt := range []struct {
@@ -175,10 +175,13 @@
 		{"open, key", document(), "/open/x", k, 200, "POST /open/x north body"},
 		{"open, no key", document(), "/open/x", "", 200, "POST /open/x  body"},
 		{"open, unknown key", document(), "/open/x", unknown, 401, ""},
+		{"open, several keys", document(), "/open/x", several, 401, ""},
 		{"key", document(), "/safe/x", k, 200, "POST /safe/x north body"},
 		{"no key", document(), "/safe/x", "", 401, ""},
 		{"unknown key", document(), "/safe/x", unknown, 401, ""},
+		{"several keys", document(), "/safe/x", several, 401, ""},
 		{"no accounts, unknown key", withoutAccounts, "/safe/x", unknown, 200, "POST /safe/x  body"},
+		{"no accounts, several keys", withoutAccounts, "/open/x", several, 200, "POST /open/x  body"},
 		{"no accounts, no key", withoutAccounts, "/safe/x", "", 200, "POST /safe/x  body"},
 	} {
 		u := newUpstream(t, ok)
--- a/internal/api/gateway/gateway_test.go
+++ b/internal/api/gateway/gateway_test.go
@@ -63,10 +63,14 @@
 	}
 }
 
-// testCredential returns the credential of a header.
+// testCredential returns the credential of a header, in which two keys are separated by a
+// comma.
 func testCredential(text string) Credential {
-	if text == "" {
+	switch {
+	case text == "":
 		return NoKey{}
+	case strings.Contains(text, ","):
+		return AmbiguousKey{}
 	}
 	return Key{Value: text}
 }
--- a/internal/api/gateway/headers.go
+++ b/internal/api/gateway/headers.go
@@ -13,7 +13,7 @@
 	Tokens int
 }
 
-// Credential is what a request shows of its client account: NoKey or Key.
+// Credential is what a request shows of its client account: NoKey, Key or AmbiguousKey.
 type Credential interface{ isCredential() }
 
 // NoKey is the credential of a request that carries no API key.
@@ -22,8 +22,12 @@
 // Key is an API key. An account may hold it or not.
 type Key struct{ Value string }
 
-func (NoKey) isCredential() {}
-func (Key) isCredential()   {}
+// AmbiguousKey stands for credentials that contradict each other.
+type AmbiguousKey struct{}
+
+func (NoKey) isCredential()        {}
+func (Key) isCredential()          {}
+func (AmbiguousKey) isCredential() {}
 
 // Attributes holds what the headers of a request say.
 type Attributes struct {
--- a/internal/api/gateway/server.go
+++ b/internal/api/gateway/server.go
@@ -334,6 +334,8 @@
 			return nil
 		}
 		return unauthorized("the request has no key; send an account's key")
+	case AmbiguousKey:
+		return unauthorized("the request has several credentials; send one key")
 	case Key:
 		account, ok := q.index.Account(c.Value)
 		if !ok {
