cmd/hawthornhub: name the account of requests without a key in all tables

The tables of a gateway's status page and the metrics account_used, account_share, account_borrowed and account_refused showed requests without a key under an empty name, the metrics of memory under (none). With an empty label an operator cannot tell them from a value without the label.

TestRequestsWithoutKeyHaveAName fails without the change: gauge account_used of account "", want "(none)".

--- a/cmd/hawthornhub/accounts.go
+++ b/cmd/hawthornhub/accounts.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"text/tabwriter"
@@ -8,6 +9,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"hawthornhub.example/hawthornhub/internal/api/gateway"
 	"hawthornhub.example/hawthornhub/internal/dispatch/batcher"
 )
 
@@ -21,6 +23,10 @@
 	maxListedAccounts = 32
 )
 
+// shownAccount returns the name of an account in metrics and tables, also of that of requests
+// without a key.
+func shownAccount(account string) string { return cmp.Or(account, anonymousAccount) }
+
 // accountMetrics updates the metrics by account.
 type accountMetrics struct {
 	names map[string]bool
@@ -42,6 +48,7 @@
 
 // name returns the account in metrics.
 func (m *accountMetrics) name(account string) string {
+	account = shownAccount(account)
 	if !m.names[account] {
 		if len(m.names) >= maxAccountMetrics {
 			return otherAccounts
@@ -85,20 +92,25 @@
 	}
 }
 
-// writeStatus writes what accounts use and how often they were refused as tables.
+// writeStatus writes the tables of accounts, or why there are none.
 func (g *gatewayProcess) writeStatus(out io.Writer) {
 	if !g.sharesByAccount() {
 		fmt.Fprintln(out, "capacity is not shared by account; see [fair] in the settings and the accounts of the document")
 		return
 	}
+	writeAccounts(out, g.batchOwner.Usages(time.Now(), maxListedAccounts), g.server.Refusals(maxListedAccounts))
+}
+
+// writeAccounts writes what accounts use and how often they were refused as tables.
+func writeAccounts(out io.Writer, usages []batcher.ServiceUsage, refusals []gateway.Refusals) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	defer w.Flush()
 	fmt.Fprintln(w, "SERVICE\tACCOUNT\tSTANDING\tASKED\tUSED\tSHARE\tBORROWED")
-	for _, u := range g.batchOwner.Usages(time.Now(), maxListedAccounts) {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%.2f\t%.2f\t%.2f\t%.2f\n", u.Service, u.Account, u.Standing, u.Asked, u.Used, u.Share, u.Borrowed)
+	for _, u := range usages {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.2f\t%.2f\t%.2f\t%.2f\n", u.Service, shownAccount(u.Account), u.Standing, u.Asked, u.Used, u.Share, u.Borrowed)
 	}
 	fmt.Fprintln(w, "ACCOUNT\tCAUSE\tREFUSED")
-	for _, r := range g.server.Refusals(maxListedAccounts) {
-		fmt.Fprintf(w, "%s\t%s\t%d\n", r.Account, r.Cause, r.Count)
+	for _, r := range refusals {
+		fmt.Fprintf(w, "%s\t%s\t%d\n", shownAccount(r.Account), r.Cause, r.Count)
 	}
 }
--- a/cmd/hawthornhub/accounts_test.go
+++ b/cmd/hawthornhub/accounts_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/uber-go/tally/v4"
 
+	"hawthornhub.example/hawthornhub/internal/api/gateway"
 	"hawthornhub.example/hawthornhub/internal/dispatch/batcher"
 	"hawthornhub.example/hawthornhub/internal/serve/fairshare"
 )
@@ -37,3 +39,22 @@
 		t.Errorf("the accounts use %v after they have stopped, want 0", sum)
 	}
 }
+
+// Guards against requests without a key that have an empty name in tables and metrics.
+func TestRequestsWithoutKeyHaveAName(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	m := newAccountMetrics()
+	m.updateUsage(scope, []batcher.ServiceUsage{{Service: "scan", Usage: fairshare.Usage{Used: 1}}})
+	for _, g := range scope.Snapshot().Gauges() {
+		if got, want := g.Tags()["account"], anonymousAccount; got != want {
+			t.Errorf("gauge %s of account %q, want %q", g.Name(), got, want)
+		}
+	}
+	var table strings.Builder
+	writeAccounts(&table, []batcher.ServiceUsage{{Service: "scan", Usage: fairshare.Usage{Used: 1}}}, []gateway.Refusals{{Cause: "capacity", Count: 2}})
+	for i, line := range strings.Split(strings.TrimSpace(table.String()), "\n") {
+		if (i == 1 || i == 3) && !strings.Contains(line, anonymousAccount) {
+			t.Errorf("line %d is %q, want the account %s", i, line, anonymousAccount)
+		}
+	}
+}
--- a/cmd/hawthornhub/memory.go
+++ b/cmd/hawthornhub/memory.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"cmp"
-
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -36,7 +34,7 @@
 	scope.Gauge("held_bytes_limit").Update(float64(b.Limit()))
 	bytes := make(map[string]int64)
 	for _, e := range b.Above(maxMemoryNames) {
-		name := cmp.Or(e.Account, anonymousAccount)
+		name := shownAccount(e.Account)
 		if _, known := r.above[name]; !known && len(r.above) >= maxMemoryNames {
 			name = otherAccounts
 		}
