deploy, settings: take bounds that are fractions

Cause: the template turned seconds into milliseconds by appending 000, which gives 7.5000, and the setting was an integer.

--- a/cmd/hawthornhub/gateway.go
+++ b/cmd/hawthornhub/gateway.go
@@ -174,7 +174,7 @@
 		EntryCount:     g.entryCount,
 		Retry:          gateway.RetryBudget{Ratio: s.Retry.Ratio, Burst: s.Retry.Burst},
 		Zone:           s.Zone,
-		HeldBytes:      int64(s.MemoryMB) << 20 / heldMemoryShare,
+		HeldBytes:      s.MemoryBytes() / heldMemoryShare,
 		Metrics:        g.health.Metrics(),
 		Log:            g.log,
 	})
--- a/cmd/hawthornhub/site.go
+++ b/cmd/hawthornhub/site.go
@@ -71,7 +71,7 @@
 		return nil, &exitError{code: exitUsage, err: err}
 	}
 	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryLimitRatio * (1 << 20)))
+		debug.SetMemoryLimit(int64(float64(s.MemoryBytes()) * memoryLimitRatio))
 	}
 	p := &siteProcess{settingsFile: file, role: role, settings: s, incarnation: uint64(time.Now().UnixNano()), done: make(chan struct{})}
 	p.logs = logs.Open(logs.Config{Out: os.Stdout, Level: level})
--- a/internal/operator/settings/fuzz_test.go
+++ b/internal/operator/settings/fuzz_test.go
@@ -41,6 +41,8 @@
 		"faults = 2":          "faults = -1",
 		"10.0.0.2:7204":       "10.0.0.2:99999",
 		"[retry]":             "[stop]\ngrace_ms = 9223372036854775807\n[retry]",
+		"\n[retry]":           "\n[stop]\ngrace_ms = nan\n[retry]",
+		"memory_mb = 512\n":   "memory_mb = nan\n",
 	} {
 		text := strings.Replace(siteText, from, to, 1)
 		if _, violations := DecodeSite([]byte(text), RoleGateway); len(violations) != 1 || text == siteText {
--- a/internal/operator/settings/site.go
+++ b/internal/operator/settings/site.go
@@ -29,7 +29,7 @@
 	ControlPort int `toml:"control_port"`
 	// MemoryMB is the memory of the instance in MiB, from which the process
 	// derives its memory limit; 0 sets no limit.
-	MemoryMB int          `toml:"memory_mb"`
+	MemoryMB float64      `toml:"memory_mb"`
 	Replica  SiteReplica  `toml:"replica"`
 	Stop     SiteStop     `toml:"stop"`
 	Retry    SiteRetry    `toml:"retry"`
@@ -121,7 +121,7 @@
 type SiteStop struct {
 	// GraceMs is the time from the stop signal to the end of the process, in
 	// milliseconds; the default is 8000.
-	GraceMs int `toml:"grace_ms"`
+	GraceMs float64 `toml:"grace_ms"`
 }
 
 // SiteRetry bounds retries over all gateways together.
@@ -179,11 +179,11 @@
 	if s.ControlPort < 1 || s.ControlPort > maxPort {
 		add("control_port", "missing; give the port at which control instances take links")
 	}
-	if s.Stop.GraceMs < 1 || s.Stop.GraceMs > maxMs {
-		add("stop.grace_ms", fmt.Sprintf("%d; give a time from 1 to %d", s.Stop.GraceMs, maxMs))
+	if !(s.Stop.GraceMs >= 1 && s.Stop.GraceMs <= maxMs) {
+		add("stop.grace_ms", fmt.Sprintf("%v; give a time from 1 to %d", s.Stop.GraceMs, maxMs))
 	}
-	if s.MemoryMB < 0 || s.MemoryMB > maxMemoryMB {
-		add("memory_mb", fmt.Sprintf("%d; give the memory of the instance, at most %d, or 0 for no limit", s.MemoryMB, maxMemoryMB))
+	if !(s.MemoryMB >= 0 && s.MemoryMB <= maxMemoryMB) {
+		add("memory_mb", fmt.Sprintf("%v; give the memory of the instance, at most %d, or 0 for no limit", s.MemoryMB, maxMemoryMB))
 	}
 	if s.Replica.MaxFailures < 0 || s.Replica.MaxFailures > maxFaults {
 		add("replica.faults", fmt.Sprintf("%d; give a number from 0 to %d", s.Replica.MaxFailures, maxFaults))
@@ -228,7 +228,12 @@
 }
 
 // StopTimeout returns Stop.GraceMs as a duration.
-func (s Site) StopTimeout() time.Duration { return time.Duration(s.Stop.GraceMs) * time.Millisecond }
+func (s Site) StopTimeout() time.Duration {
+	return time.Duration(s.Stop.GraceMs * float64(time.Millisecond))
+}
+
+// MemoryBytes returns MemoryMB in bytes.
+func (s Site) MemoryBytes() int64 { return int64(s.MemoryMB * (1 << 20)) }
 
 // FleetKey reads the fleet's shared key from FleetKeyFile.
 func (s Site) FleetKey() ([]byte, error) { return readKey(s.FleetKeyFile) }
