replica, raft: each seed forms the log, and commands wait for the voters

Cause: the seed with the lowest address formed the log, once every seed had answered, with the seeds as voters, and nothing waited for the others.

At a first start each seed with a disk now forms the same log by itself, with identities that follow from the addresses, so that any majority of them elects a leader.

--- a/cmd/hawthornhub/registry.go
+++ b/cmd/hawthornhub/registry.go
@@ -111,7 +111,7 @@
 		Peers:           seedAddresses(s),
 		AcceptUnlisted:  true,
 		Discovered:      p.connectedControls,
-		JoinOnly:        !s.Replica.Bootstrap,
+		Formation:       formation(s.Replica),
 		TargetVoters:    2*s.Replica.MaxFailures + 1,
 		OnSiteDocument:  p.hub.SetSiteDocument,
 		OnEvacuations:   p.hub.SetEvacuations,
@@ -146,6 +146,14 @@
 	return errors.Join(p.serveHealth(p.checkReady), p.serveOn(s.Listen.Registry, p.http))
 }
 
+// formation returns how a registry with an empty data folder may begin a log.
+func formation(s settings.SiteReplica) replica.Formation {
+	if s.Bootstrap {
+		return replica.FormAtFirstStart{}
+	}
+	return replica.JoinOnly{}
+}
+
 // evacuationsCurrent reports whether the evacuated zones that the hub knows are sure to be
 // the present ones.
 func (p *registryProcess) evacuationsCurrent() bool {
--- a/internal/api/registry/starts_test.go
+++ b/internal/api/registry/starts_test.go
@@ -102,7 +102,7 @@
 	system := actor.NewActorSystem()
 	pool := link.NewPool(link.PoolConfig{Auth: auth})
 	r, err := replica.Start(replica.Config{
-		Name: "alone", DataDir: t.TempDir(), JoinOnly: true, Tick: 10 * time.Millisecond, SnapshotEntries: 64,
+		Name: "alone", DataDir: t.TempDir(), Formation: replica.JoinOnly{}, Tick: 10 * time.Millisecond, SnapshotEntries: 64,
 		Pool: pool, System: system, Timeline: timeline.NewRecorder(timeline.Config{}), Log: zap.NewNop(),
 		Fatal: func(err error) { t.Error(err) },
 	})
--- a/internal/fleet/replica/actor.go
+++ b/internal/fleet/replica/actor.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	mrand "math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -37,8 +38,8 @@
 		fn   func(*fsm.Machine)
 		done chan<- error
 	}
-	bootstrapMsg struct{ names map[uint64]string }
-	flushMsg     struct{}
+	formMsg  struct{ names map[uint64]string }
+	flushMsg struct{}
 )
 
 // stateActor owns the Raft node, its storage and the state machine. Only its
@@ -110,14 +111,14 @@
 		a.propose(msg)
 	case *readMsg:
 		a.read(msg)
-	case *bootstrapMsg:
-		a.bootstrap(msg.names)
+	case *formMsg:
+		a.form(msg.names)
 	case *flushMsg:
 		a.flush()
 	case *actor.Stopped:
 		a.stop()
 	}
-	if len(a.effects)+len(a.commands) > 0 && !a.flushQueued {
+	if (len(a.effects) > 0 || a.mayPropose()) && !a.flushQueued {
 		a.flushQueued = true
 		ctx.Send(ctx.Self(), &flushMsg{})
 	}
@@ -206,11 +207,19 @@
 	a.step(raft.ReadIndex{ID: a.lastReadID})
 }
 
+// mayPropose reports whether there are commands that can be proposed now. The leader of a
+// log that is still forming keeps them: what fewer voters than the target hold could be lost
+// with fewer disks than are to be borne.
+func (a *stateActor) mayPropose() bool {
+	state := a.node.State()
+	return len(a.commands) > 0 && (state.Role != raft.Leader || !state.Voters.GetForming())
+}
+
 // flush proposes the collected commands and executes the collected effects.
 // Each batch is written to disk before its other effects are executed.
 func (a *stateActor) flush() {
 	a.flushQueued = false
-	if len(a.commands) > 0 {
+	if a.mayPropose() {
 		a.step(raft.Propose{Commands: a.commands})
 		a.commands = nil
 	}
@@ -437,10 +446,10 @@
 	a.step(raft.Compact{Index: a.snapshotIndex, State: state})
 }
 
-// bootstrap writes the first snapshot, with the given instances as voters. It
-// does nothing if this replica already has a log.
-func (a *stateActor) bootstrap(names map[uint64]string) {
-	if a.node.State().LastIndex != 0 || a.machine != nil {
+// form begins the log with the given instances as voters. It does nothing if this replica
+// has a log.
+func (a *stateActor) form(names map[uint64]string) {
+	if a.node.State().LastIndex != 0 {
 		return
 	}
 	m, err := fsm.New(a.cfg.InitialDocument)
@@ -455,25 +464,10 @@
 		a.cfg.Fatal(err)
 		return
 	}
-	voters := &statepb.Voters{Names: names}
-	for id := range names {
-		voters.Voters = append(voters.Voters, id)
-	}
-	snap := &statepb.Snapshot{Index: 1, Term: 1, Voters: voters, State: state}
-	hard := &statepb.HardState{Term: 1}
-	if err := a.store.SaveSnapshot(snap, hard, nil); err != nil {
-		a.failed = true
-		a.cfg.Fatal(err)
-		return
-	}
-	a.machine = m
-	a.snapshotIndex = 1
-	a.node = raft.New(nodeConfig(a.cfg, a.store.Identity()), raft.InitialState{Hard: hard, Snapshot: snap})
-	a.effects = nil
+	voters := &statepb.Voters{Voters: slices.Sorted(maps.Keys(names)), Names: names, Forming: a.cfg.TargetVoters > 0}
 	a.cfg.Timeline.Add("form", "", fmt.Sprintf("%d voters", len(names)))
-	a.notifyEvacuations()
-	a.notifyEndedStarts()
-	a.publish()
+	a.cfg.Log.Info("log formed", zap.Strings("voters", slices.Sorted(maps.Values(names))), zap.Int("target", a.cfg.TargetVoters))
+	a.step(raft.Form{Snapshot: &statepb.Snapshot{Index: 1, Term: 1, Voters: voters, State: state}})
 }
 
 func (a *stateActor) peerName(id uint64) string {
--- a/internal/fleet/replica/leave_test.go
+++ b/internal/fleet/replica/leave_test.go
@@ -27,7 +27,7 @@
 
 // startOfThree starts an instance that aims for three voters.
 func (g *group) startOfThree(m *testReplica) {
-	g.startWith(m, Config{AcceptUnlisted: true, JoinOnly: true, TargetVoters: 3, Discovered: g.addresses})
+	g.startWith(m, Config{AcceptUnlisted: true, Formation: JoinOnly{}, TargetVoters: 3, Discovered: g.addresses})
 }
 
 func (m *testReplica) isLearner() bool {
--- a/internal/fleet/replica/open_test.go
+++ b/internal/fleet/replica/open_test.go
@@ -23,14 +23,7 @@
 func newUnlistedGroup(t *testing.T, size, seeds int, relays ...string) *group {
 	t.Helper()
 	g := &group{t: t}
-	root := t.TempDir()
-	for i := range size {
-		address := freeAddress(t)
-		g.replicas = append(g.replicas, &testReplica{name: address, dir: filepath.Join(root, address), address: address})
-		if i < seeds {
-			g.peers = append(g.peers, control.Address{Name: address, Link: address})
-		}
-	}
+	g.addUnlisted(size, seeds)
 	for _, r := range relays {
 		g.peers = append(g.peers, control.Address{Name: r, Link: r})
 	}
@@ -41,7 +34,20 @@
 	return g
 }
 
-func freeAddress(t *testing.T) string {
+// addUnlisted adds replicas that are named by their addresses, the first ones as peers.
+func (g *group) addUnlisted(size, seeds int) {
+	g.t.Helper()
+	root := g.t.TempDir()
+	for i := range size {
+		address := freeAddress(g.t)
+		g.replicas = append(g.replicas, &testReplica{name: address, dir: filepath.Join(root, address), address: address})
+		if i < seeds {
+			g.peers = append(g.peers, control.Address{Name: address, Link: address})
+		}
+	}
+}
+
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -53,7 +59,11 @@
 
 func (g *group) startUnlisted(m *testReplica, mayBootstrap bool) {
 	g.t.Helper()
-	g.startWith(m, Config{AcceptUnlisted: true, JoinOnly: !mayBootstrap, TargetVoters: len(g.replicas), Discovered: g.addresses})
+	var formation Formation = JoinOnly{}
+	if mayBootstrap {
+		formation = FormAtFirstStart{}
+	}
+	g.startWith(m, Config{AcceptUnlisted: true, Formation: formation, TargetVoters: len(g.replicas), Discovered: g.addresses})
 }
 
 // addresses returns the addresses of all replicas. It stands in for discovery.
--- a/internal/fleet/replica/peers.go
+++ b/internal/fleet/replica/peers.go
@@ -132,7 +132,7 @@
 	defer r.wg.Done()
 	for {
 		if s := r.Status(); s.WantsToJoin() && !r.leaving.Load() {
-			r.joinOrBootstrap(s)
+			r.joinOrForm(s)
 		}
 		select {
 		case <-r.done:
@@ -142,41 +142,38 @@
 	}
 }
 
-// joinOrBootstrap sends a hello to every peer. If all peers with a disk replied
-// that they have no log, the one with the lowest name bootstraps the fleet.
-// Otherwise it also sends a hello to the discovered instances; whichever is the
-// leader adds this instance as a learner.
-func (r *Replica) joinOrBootstrap(s Status) {
-	names := map[uint64]string{s.ID: r.cfg.Name}
-	lowest := r.cfg.Name
-	empty := s.LastIndex == 0
-	diskPeers := len(r.cfg.Peers)
-	for _, p := range r.cfg.Peers {
-		if p.Name == r.cfg.Name {
-			continue
-		}
-		reply := r.sendHello(p.Link, s)
-		// Relays have no disk and reply with identity 0.
-		if reply != nil && reply.Identity == 0 && reply.Name == p.Name {
-			diskPeers--
-			continue
-		}
-		lowest = min(lowest, p.Name)
-		if reply == nil || !reply.Empty || reply.Name != p.Name {
-			empty = false
-			continue
+// joinOrForm asks every peer for its state. Without a log, this instance then forms one if
+// it is its turn. Otherwise it also sends a hello to the discovered instances; whichever
+// is the leader adds this instance as a learner.
+func (r *Replica) joinOrForm(s Status) {
+	peers := r.askPeers(s)
+	if s.LastIndex == 0 {
+		if names := r.firstVoters(s, peers); names != nil {
+			r.send(&formMsg{names: names})
+			return
 		}
-		names[reply.Identity] = p.Name
-	}
-	if empty && !r.cfg.JoinOnly && lowest == r.cfg.Name && len(names) == diskPeers {
-		r.send(&bootstrapMsg{names: names})
-		return
 	}
 	for _, address := range r.discovered() {
 		r.sendHello(address, s)
 	}
 }
 
+// askPeers sends a hello to all peers at once and returns what is known of them, in the
+// order of Config.Peers.
+func (r *Replica) askPeers(s Status) []peerState {
+	out := make([]peerState, len(r.cfg.Peers))
+	var wg sync.WaitGroup
+	for i, p := range r.cfg.Peers {
+		if p.Name == r.cfg.Name {
+			out[i] = peerState{name: p.Name, kind: emptyPeer, identity: s.ID}
+			continue
+		}
+		wg.Go(func() { out[i] = peerStateOf(p.Name, r.sendHello(p.Link, s)) })
+	}
+	wg.Wait()
+	return out
+}
+
 // discovered returns the addresses of Config.Discovered that are neither in
 // Config.Peers nor this instance's own.
 func (r *Replica) discovered() []string {
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	mrand "math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,10 @@
 	// replaced, after an election if it led, within the 4 s after which another
 	// instance may be lost. A voter that is replaced too early only becomes a learner.
 	voterRemovalTicks = 30
+	// formingTicks is the time that the leader of a new log waits for as many voters as it
+	// is to have. With a tick of 50 ms it is 3 s. Instances start within a moment of each
+	// other at a first start; one that is still missing then is lost.
+	formingTicks = 60
 	// helloInterval is the time between hello messages of an instance that is
 	// not a member yet.
 	helloInterval = 300 * time.Millisecond
@@ -57,11 +62,12 @@
 	// Discovered returns the link addresses of further control instances, which
 	// need not be in Peers. It may be nil.
 	Discovered func() []string
-	// JoinOnly keeps an instance with an empty data folder from bootstrapping a
-	// fleet: it waits until it is added to an existing one.
-	JoinOnly bool
+	// Formation says how an instance with an empty data folder may begin a log; nil
+	// stands for FormWhenAllEmpty.
+	Formation Formation
 	// TargetVoters is the number of voters, an odd one. Further instances stay
-	// learners and replace lost or leaving voters. With 0, all become voters.
+	// learners and replace lost or leaving voters. No command is committed before so many
+	// voters hold a new log, or the leader has waited for them. With 0, all become voters.
 	TargetVoters int
 	// OnSiteDocument is called with each committed site document (see package
 	// site), in order. It may be nil and must not block.
@@ -129,6 +135,7 @@
 	status   atomic.Pointer[Status]
 	document atomic.Pointer[control.LeasedDocument]
 	senders  *senders
+	started  time.Time
 	// leaving is set once this instance leaves: it does not ask to join any more.
 	leaving atomic.Bool
 	done    chan struct{}
@@ -166,7 +173,7 @@
 			return nil, err
 		}
 	}
-	r := &Replica{cfg: cfg, done: make(chan struct{}), senders: newSenders(cfg)}
+	r := &Replica{cfg: cfg, started: time.Now(), done: make(chan struct{}), senders: newSenders(cfg)}
 	a.replica = r
 	r.document.Store(&control.LeasedDocument{})
 	a.publish()
@@ -189,7 +196,7 @@
 			return nil, disk.Recovered{}, err
 		}
 	}
-	store, recovered, err := disk.Open(disk.Config{FS: fs, NewIdentity: NewIdentity})
+	store, recovered, err := disk.Open(disk.Config{FS: fs, NewIdentity: cfg.newIdentity})
 	var corruption *disk.CorruptionError
 	if !errors.As(err, &corruption) || cfg.DataDir == "" {
 		return store, recovered, err
@@ -211,6 +218,7 @@
 		Jitter:               mrand.IntN,
 		TargetVoters:         cfg.TargetVoters,
 		VoterRemovalTicks:    voterRemovalTicks,
+		FormingTicks:         formingTicks,
 	}
 }
 
@@ -286,15 +294,12 @@
 }
 
 func (r *Replica) mayJoin(name string) bool {
-	if r.cfg.AcceptUnlisted {
-		return true
-	}
-	for _, p := range r.cfg.Peers {
-		if p.Name == name {
-			return true
-		}
-	}
-	return false
+	return r.cfg.AcceptUnlisted || r.cfg.isPeer(name)
+}
+
+// isPeer reports whether the named instance is one of Peers.
+func (cfg Config) isPeer(name string) bool {
+	return slices.ContainsFunc(cfg.Peers, func(p control.Address) bool { return p.Name == name })
 }
 
 // TransferLeadership asks another voter to become the leader and waits until
--- a/internal/state/raft/cluster_test.go
+++ b/internal/state/raft/cluster_test.go
@@ -169,7 +169,7 @@
 func (c *cluster) start(s *simReplica) {
 	s.node = New(Config{
 		ID: s.id, Name: s.name, ElectionTicks: c.ticks, StartupElectionTicks: 1, HeartbeatTicks: 1,
-		TargetVoters: c.target, VoterRemovalTicks: 3 * c.ticks, Jitter: c.jitter,
+		TargetVoters: c.target, VoterRemovalTicks: 3 * c.ticks, FormingTicks: formingRounds, Jitter: c.jitter,
 	}, s.disk.initialState())
 	s.chain = parseHashChain(s.disk.snap.GetState())
 	s.paused, s.inbox = false, nil
--- a/internal/state/raft/doc.go
+++ b/internal/state/raft/doc.go
@@ -17,6 +17,10 @@
 // replace voters that are lost or leave, in an order that leaves a quorum at each
 // moment (docs/design/voters.md).
 //
+// A log begins with a snapshot that all first voters have in common (Form). It is
+// forming until as many voters as the target hold it; the host proposes no commands
+// before.
+//
 // # Usage
 //
 // The host collects the effects of a batch of inputs and executes them in
--- a/internal/state/raft/election.go
+++ b/internal/state/raft/election.go
@@ -26,6 +26,7 @@
 func (n *Node) leaderTick() {
 	n.electionElapsed++
 	n.heartbeatElapsed++
+	n.formingTicks++
 	for _, p := range n.peers {
 		p.idleTicks++
 		if p.snapshotRetryTicks > 0 {
@@ -153,6 +154,7 @@
 	n.leader = n.cfg.ID
 	n.electionElapsed = 0
 	n.heartbeatElapsed = 0
+	n.formingTicks = 0
 	n.peers = make(map[uint64]*progress)
 	n.leaving = make(map[uint64]int)
 	n.updatePeers()
--- a/internal/state/raft/input.go
+++ b/internal/state/raft/input.go
@@ -34,6 +34,10 @@
 // log is the most up to date.
 type TransferLeadership struct{}
 
+// Form begins the log with a snapshot that all first voters have in common, so that each
+// of them can begin it by itself. A replica that has a log or gets one from a leader ignores it.
+type Form struct{ Snapshot *statepb.Snapshot }
+
 // Compact replaces the log up to and including Index with a snapshot of the
 // state at Index.
 type Compact struct {
@@ -48,4 +52,5 @@
 func (Join) isInput()               {}
 func (Leave) isInput()              {}
 func (TransferLeadership) isInput() {}
+func (Form) isInput()               {}
 func (Compact) isInput()            {}
--- a/internal/state/raft/node.go
+++ b/internal/state/raft/node.go
@@ -100,6 +100,9 @@
 	// VoterRemovalTicks is the number of ticks without an append reply from a
 	// voter after which the leader replaces it if a learner is ready.
 	VoterRemovalTicks int
+	// FormingTicks is the number of ticks after which a leader no longer waits for
+	// further first voters, which count as lost then.
+	FormingTicks int
 	// Jitter returns a number in [0, n) that randomizes election timeouts; nil
 	// disables randomization.
 	Jitter func(n int) int
@@ -217,6 +220,8 @@
 	transferTarget uint64
 	// transferTicksLeft is the number of ticks until the transfer is abandoned.
 	transferTicksLeft int
+	// formingTicks is the number of ticks that this leader has waited for first voters.
+	formingTicks int
 
 	// leaving holds the members that have asked this leader to leave, with the ticks
 	// until the request expires.
@@ -239,10 +244,7 @@
 	n.commitIndex = n.snapshot.Index
 	n.lastApplied = n.snapshot.Index
 	n.updateVoters()
-	n.resetElectionTimeout()
-	if cfg.StartupElectionTicks > 0 {
-		n.electionTimeout = n.randomizedTicks(cfg.StartupElectionTicks)
-	}
+	n.resetStartupTimeout()
 	return n
 }
 
@@ -264,6 +266,8 @@
 		n.leave(in.ID)
 	case TransferLeadership:
 		n.startTransfer()
+	case Form:
+		n.form(in.Snapshot)
 	case Compact:
 		n.compact(in)
 	default:
@@ -356,6 +360,14 @@
 	n.electionTimeout = n.randomizedTicks(n.cfg.ElectionTicks)
 }
 
+// resetStartupTimeout is resetElectionTimeout before the first election.
+func (n *Node) resetStartupTimeout() {
+	n.resetElectionTimeout()
+	if n.cfg.StartupElectionTicks > 0 {
+		n.electionTimeout = n.randomizedTicks(n.cfg.StartupElectionTicks)
+	}
+}
+
 // randomizedTicks returns a number in [ticks, 2*ticks).
 func (n *Node) randomizedTicks(ticks int) int {
 	if n.cfg.Jitter == nil {
--- a/internal/state/raft/voters.go
+++ b/internal/state/raft/voters.go
@@ -38,6 +38,8 @@
 		n.remove(n.replacedVoter())
 	case ready != 0 && n.silentVoter() != 0:
 		n.demote(n.silentVoter())
+	case n.voters.GetForming() && n.isFormed():
+		n.completeForming()
 	case ready != 0 && (target == 0 || n.leavingNeedsReplacement()):
 		n.promote(ready)
 	default:
@@ -47,6 +49,35 @@
 	}
 }
 
+// form begins the log with the snapshot of the first voters. What this replica has promised
+// in an election before stays.
+func (n *Node) form(s *statepb.Snapshot) {
+	if n.lastIndex() != 0 {
+		return
+	}
+	n.term = max(n.term, s.Term)
+	n.installSnapshot(s)
+	n.resetStartupTimeout()
+}
+
+// isFormed reports whether as many voters as the target hold the log, or the leader has
+// waited for them long enough.
+func (n *Node) isFormed() bool {
+	if n.formingTicks >= n.cfg.FormingTicks {
+		return true
+	}
+	return len(n.voters.GetVoters()) >= n.cfg.TargetVoters && n.allVoters(func(id uint64) bool {
+		return n.RecentlyActive(id) && n.peers[id].match >= n.commitIndex
+	})
+}
+
+// completeForming ends the time in which no command is appended.
+func (n *Node) completeForming() {
+	next := proto.Clone(n.voters).(*statepb.Voters)
+	next.Forming = false
+	n.appendVoters(next)
+}
+
 // reduceVoters removes one of more voters than the target: a lost or leaving one, or
 // any other if all of them are active.
 func (n *Node) reduceVoters() {
