docs: what first = true asks of operators

A registry that has lost its disk and is started with first = true again votes under its old identity. The platform never does that; whoever starts a registry by hand has to know.

--- a/internal/operator/settings/site.go
+++ b/internal/operator/settings/site.go
@@ -110,7 +110,8 @@
 	// Relay is set on an instance without a disk: it holds no state and relays
 	// calls to instances that do.
 	Relay bool `toml:"relay"`
-	// Bootstrap is set when the whole fleet starts for the first time.
+	// Bootstrap is set when the whole fleet starts for the first time, and never again for
+	// an instance that has lost its disk.
 	Bootstrap bool `toml:"first"`
 	// MaxFailures is the number f of control instances that may be lost at once;
 	// it sets the number of voters to 2f+1. The default is 1.
